--- /dev/null
+++ b/crowpier/logic.py
@@ -0,0 +1,747 @@
+"""Every decision of the delivery service; the types it takes and gives are in `interface.py`.
+
+A message goes to its destination's best-measured endpoint, is retried there, then falls over to greedy plans
+of the remaining endpoints (Algorithm 1 of the rAFCL paper). What cannot go yet is held. The guards that the
+six rules need stand around that path: an `Endpoint` has a score and a breaker, a `Lane` (a destination, or a
+route where routes are apart) has the waits and the pace of a limit.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import defaultdict, deque
+
+import crowpier.interface as api
+from crowpier.interface import AttemptEnded, Effect, Outcome, Settings, State
+
+# The mechanism
+PRIOR = 0.5  # score of an endpoint nothing is known of: it may as well work as not
+SCORE_GAIN = 0.2  # weight of the newest outcome: about the last five calls count
+SCORE_AGE_MS = 30_000.0  # an unused score drifts to the prior within about this time
+FIRST_RETRIES = 2  # further tries at the first endpoint, as in the paper's cloud default
+TARGET = 0.9  # joint availability of a plan: one healthy endpoint meets it alone
+LOAD_DISCOUNT = 0.1  # score given up for each call already out: ten calls weigh as much as certain failure
+FEE_DISCOUNT = 2.0  # score given up for each point of fee: decides between near equals only
+COLD_CONN_DISCOUNT = 0.05  # score given up where a connection must be opened: decides between equals only
+# Connections
+KEEP_CUT = 0.5  # of the idle time after which one failed: from then on idle ones are closed before
+KEEP_LEAST = 0.01  # of the told idle time: never closed sooner
+KEEP_DOUBLES_MS = 15_000.0  # the time for which idle ones are kept doubles in this, up to the told one
+# Slots
+DEST_SHARE = 0.75  # of the slots for one destination, from the design
+SICK_SHARE = 0.5  # of the slots while it fails or is slow, from the design
+SLOW_CALL = 2.0  # a call out for more than this times its usual time is slow, from the design
+SILENT_CALL = 3.0  # with nothing answered for so many usual times, nothing more is sent
+# Times
+FIRST_USUAL = 0.15  # of the class's aim: a call's usual time before one is measured
+USUAL_GAIN = 0.02  # weight of the newest call in its class's usual time
+STRETCH_GAIN = 0.2  # weight of the newest call in a destination's pace, which differs more and changes faster
+TIMEOUT_CALLS = 4.0  # a call is given up after this times its usual time, but not before the class's aim
+TIMEOUT_AIMS = {Effect.SAFE: 2.0, Effect.KEYED: 1.0, Effect.UNSAFE: 8.0}  # unsafe: giving up loses it
+DOUBTED_SHARE = 0.25  # of that while idle connections are known to fail and this call went on one
+RETRY_CALLS = 0.25  # of a usual call: rest before the first further try, doubled with each
+REST_TOP_MS = 2_000.0  # no rest of our own is longer, a wanted time is of that order
+# Limits
+CUT = 0.7  # AIMD: a refusal above a limit takes the pace to this share of what was sent
+GROW_PER_S = 0.1  # AIMD: the pace regains this share of it each second
+PACE_FLOOR_PER_S = 0.5  # the pace never falls under this, a limit below would be useless to anyone
+BURST_MS = 400.0  # worth of pace that may go at once
+FLOW_MS = 2_000.0  # memory of the pace that was sent
+PART_MS = 30_000.0  # memory of the mean pace that a lane took from us, our part of what it can do
+PAUSE_MS = 500.0  # first pause after a refusal that tells no wait, doubled with each in a row
+JITTER = (0.75, 1.25)  # rests of our own are stretched by chance, so that dispatchers do not act in step
+WAIT_MARGIN_MS = 1.0  # added to a told wait, against rounding of the clock
+# Outages
+STRIKES = 4  # breaker: opens at so many, a refusal is one, any other failure two
+RETURN_SHARE = 0.6  # of `fall_multiple` times the known pace: what a cold lane gets at most from us
+TRIAL_GAP_MS = 500.0  # times the dispatchers: the longest wait between calls to a cold endpoint
+# Held messages
+PATIENCE = 0.5  # of the aim: a message's urgency grows e-fold as its slack shrinks by so much
+QUOTA_MS = 3_000.0  # a tenant may be ahead of its allowance by so long
+FULL_HOUSE = 0.9  # of the messages that may be held: beyond this the least worth is shed
+RESUBSCRIBE_MS = 1_000.0  # first wait before asking a failed directory again, doubled to the top
+RESUBSCRIBE_TOP_MS = 8_000.0
+
+
+class Flow:
+    """A decaying count of things per second."""
+
+    def __init__(self, memory_ms: float) -> None:
+        self.memory, self.count, self.at = memory_ms, 0.0, 0.0
+
+    def rate(self, now: float) -> float:
+        return self.count * math.exp((self.at - now) / self.memory) * 1000.0 / self.memory
+
+    def add(self, now: float) -> None:
+        self.count = self.count * math.exp((self.at - now) / self.memory) + 1.0
+        self.at = now
+
+
+class Lane:
+    """What shares one limit: a destination, or one route where routes are apart."""
+
+    def __init__(self) -> None:
+        self.told_rate = 0.0
+        self.endpoints: list[Endpoint] = []
+        self.wait_until = self.next_at = -math.inf
+        self.cut_at = 0.0
+        self.pace = math.inf
+        self.fulls = 0
+        self.sent, self.taken = Flow(FLOW_MS), Flow(PART_MS)
+
+    def pace_at(self, now: float) -> float:
+        """Calls a second that may be sent: cut by refusals, growing with time since."""
+        return self.pace * (1.0 + GROW_PER_S * (now - self.cut_at) / 1000.0)
+
+    def open_at(self, now: float) -> float:
+        """When the next call may go, as far as waits and the pace have it."""
+        allowance = max(BURST_MS - 1000.0 / self.pace_at(now), 0.0)
+        return max(self.wait_until, self.next_at - allowance)
+
+    def note_sent(self, now: float) -> None:
+        self.sent.add(now)
+        self.next_at = max(now, self.next_at) + 1000.0 / self.pace_at(now)
+
+    def note_taken(self, now: float) -> None:
+        self.fulls = 0
+        self.taken.add(now)
+
+    def part(self) -> float:
+        """The pace that the lane took from us, as of the last call taken: an outage does not wear it down."""
+        return self.taken.rate(self.taken.at)
+
+    def heed(self, now: float, told_wait: float) -> None:
+        if told_wait > 0:
+            self.wait_until = max(self.wait_until, now + told_wait + WAIT_MARGIN_MS)
+
+    def note_full(self, now: float, sent_at: float, told_wait: float, jitter: float) -> None:
+        """Slow down once for all calls that were out together."""
+        if sent_at < self.cut_at:
+            return
+        self.pace = max(CUT * min(self.sent.rate(now), self.pace_at(now)), PACE_FLOOR_PER_S)
+        self.cut_at = now
+        self.fulls += 1
+        if told_wait <= 0:
+            pause = min(PAUSE_MS * 2.0 ** (self.fulls - 1), REST_TOP_MS) * jitter
+            self.wait_until = max(self.wait_until, now + pause)
+
+
+class Endpoint:
+    """One address of a destination: its score, the calls out, and its circuit breaker."""
+
+    def __init__(self, entry: api.Entry, lane: Lane) -> None:
+        self.name, self.kind, self.zone = entry.endpoint, entry.kind, entry.zone
+        self.state, self.lane = State.READY, lane
+        self.score, self.scored_at = PRIOR, 0.0
+        self.calls: dict[int, Call] = {}
+        self.idle: list[float] = []
+        self.strikes, self.struck_at = 0, -math.inf
+        self.warm, self.warm_at = 1.0, 0.0
+        self.tripped, self.opens_at, self.answered_at = False, -math.inf, -math.inf
+
+    def score_at(self, now: float) -> float:
+        return PRIOR + (self.score - PRIOR) * math.exp((self.scored_at - now) / SCORE_AGE_MS)
+
+    def rate(self, now: float, success: bool) -> None:
+        """The aged success share of the mechanism."""
+        old = self.score_at(now)
+        self.score, self.scored_at = old + SCORE_GAIN * (success - old), now
+
+
+class Call:
+    """One call out: a message, or several of one round where the kind takes them together."""
+
+    def __init__(self, number: int, endpoint: Endpoint, message: Message, now: float, usual: float) -> None:
+        self.number, self.endpoint, self.sent_at = number, endpoint, now
+        self.destination = message.destination
+        self.usual, self.cls, self.left, self.judged = usual, message.number, 0, False
+        self.idle_ms = now - endpoint.idle.pop() if endpoint.idle else 0.0  # of its connection, before it
+
+
+class Message:
+    """A message that was taken and is not over, or still has attempts out."""
+
+    def __init__(
+        self, event: api.Arrived, cls: api.MessageClass, destination: Destination, now: float
+    ) -> None:
+        self.id, self.cls, self.number, self.destination = event.message, cls, event.cls, destination
+        self.key = event.key if cls.in_order else 0
+        self.worth = cls.worth
+        self.deadline = now + event.left_ms
+        self.born = self.deadline - cls.deadline_ms
+        self.attempts: list[Call | None] = []
+        self.out = self.tries = 0
+        self.ran_at, self.ran_zone = math.inf, -1  # of the first attempt that may have run
+        self.first: Endpoint | None = None
+        self.retries = FIRST_RETRIES
+        self.plans: list[list[Endpoint]] | None = None
+        self.not_before = -math.inf
+        self.over = False
+
+    def start_over(self) -> None:
+        self.first, self.plans, self.retries = None, None, FIRST_RETRIES
+
+
+class Destination:
+    """A partner: its endpoints, the messages held for it and the calls out to it."""
+
+    def __init__(self) -> None:
+        self.endpoints: list[Endpoint] = []
+        self.held: dict[int, Message] = {}
+        self.calls: dict[int, Call] = {}
+        self.stretch = 1.0  # its calls' time over that of the class
+
+
+class Turn:
+    """The messages that share a key of order, in the order in which they were taken."""
+
+    def __init__(self) -> None:
+        self.line: deque[Message] = deque()
+        self.rests_until = -math.inf
+
+
+class Dispatcher:
+    """Decides for one dispatcher: give it each batch of events, carry out what it returns."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.now = -math.inf
+        self.actions: list[api.Action] = []
+        self.endpoints: dict[str, Endpoint] = {}
+        self.lanes: dict[object, Lane] = {}
+        self.destinations: defaultdict[int, Destination] = defaultdict(Destination)
+        self.messages: dict[int, Message] = {}
+        self.turns: dict[int, Turn] = {}
+        self.quotas = [-math.inf] * len(settings.tenants)
+        self.ends: list[tuple[float, int]] = []
+        self.usual = [FIRST_USUAL * cls.aim_ms for cls in settings.classes]
+        self.used = self.calls_made = 0
+        self.wakes_at = math.inf
+        self.parked: deque[tuple[float, Endpoint]] = deque()  # connections in the order of falling idle
+        self.keep, self.keep_at = settings.conn_idle_ms, 0.0
+        self.proven, self.proven_at = 0.0, -math.inf  # the longest idling of late that did no harm
+        self.asks, self.ask_at = 0, -math.inf if settings.subscribes else math.inf
+
+    def handle(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
+        """Take the events of one moment, in order, and say what to do now."""
+        if now_ms < self.now:
+            raise ValueError(f"time runs backwards: {now_ms} after {self.now}; hand batches in in order")
+        self.now, self.actions = now_ms, []
+        for event in events:
+            self.take(event)
+        self.ask_for_list()
+        self.end_late()
+        self.hang_up()
+        self.dispatch()
+        self.set_alarm()
+        return self.actions
+
+    def take(self, event: api.Event) -> None:
+        if isinstance(event, AttemptEnded):
+            self.attempt_ended(event)
+        elif isinstance(event, api.Arrived):
+            self.arrived(event)
+        elif isinstance(event, api.Listed):
+            self.listed(event)
+        elif isinstance(event, api.Withdrawn) and event.message in self.messages:
+            self.close(self.messages[event.message])
+        elif isinstance(event, api.Reminded):
+            self.wakes_at = math.inf  # a clock that rounds may wake us a trifle early
+
+    # The list
+
+    def ask_for_list(self) -> None:
+        if self.now >= self.ask_at:
+            self.asks, self.ask_at = self.asks + 1, math.inf
+            self.actions.append(api.Subscribe())
+
+    def listed(self, news: api.Listed) -> None:
+        if news.kind is api.ListKind.FAILED:
+            # Guards against a stale list: the directory is asked again, ever more rarely, never in step.
+            rest = min(RESUBSCRIBE_MS * 2.0 ** min(self.asks, 8) / 2.0, RESUBSCRIBE_TOP_MS)
+            self.ask_at = self.now + rest * self.random.uniform(*JITTER)
+            return
+        if news.kind is not api.ListKind.CACHED:
+            self.asks = 0
+        if news.kind is not api.ListKind.DELTA:
+            named = {entry.endpoint for entry in news.entries}
+            for endpoint in self.endpoints.values():
+                if endpoint.name not in named:
+                    endpoint.state = State.GONE
+        for entry in news.entries:
+            self.enter(entry)
+
+    def enter(self, entry: api.Entry) -> None:
+        if entry.kind >= len(self.settings.kinds) or entry.zone >= len(self.settings.zones):
+            raise ValueError(f"endpoint {entry.endpoint}: kind or zone is not one of the settings'")
+        endpoint = self.endpoints.get(entry.endpoint)
+        kind = self.settings.kinds[entry.kind]
+        if endpoint is None:
+            lane = self.lanes.setdefault(entry.endpoint if kind.apart else entry.destination, Lane())
+            endpoint = self.endpoints[entry.endpoint] = Endpoint(entry, lane)
+            lane.endpoints.append(endpoint)
+            self.destinations[entry.destination].endpoints.append(endpoint)
+        endpoint.state = entry.state
+        if self.settings.told_rates and entry.rate_per_s > 0:
+            lane = endpoint.lane
+            if lane.told_rate == 0.0:  # the pace starts there; refusals and time then move it
+                lane.pace, lane.cut_at = entry.rate_per_s, self.now
+            lane.told_rate = entry.rate_per_s
+
+    # Messages
+
+    def arrived(self, event: api.Arrived) -> None:
+        if event.cls >= len(self.settings.classes):
+            raise ValueError(f"message {event.message}: class {event.cls} is not one of the settings'")
+        cls, destination = self.settings.classes[event.cls], self.destinations[event.destination]
+        message = Message(event, cls, destination, self.now)
+        if self.over_share(event.tenant):
+            message.worth *= self.settings.over_share_worth
+        self.messages[event.message] = message
+        if message.key:
+            self.turn(message.key).line.append(message)
+        self.hold(message)
+        if len(self.messages) > FULL_HOUSE * self.settings.max_held:
+            self.shed()
+
+    def over_share(self, tenant: int) -> bool:
+        """Guards against a tenant that floods: beyond our part of its allowance its messages count little."""
+        if tenant >= len(self.quotas) or self.settings.tenants[tenant].allowance_per_s <= 0:
+            return False
+        gap = 1000.0 * self.settings.dispatchers / self.settings.tenants[tenant].allowance_per_s
+        ahead = max(self.quotas[tenant], self.now)
+        over = ahead - self.now > QUOTA_MS
+        self.quotas[tenant] = ahead if over else ahead + gap
+        return over
+
+    def shed(self) -> None:
+        """Load shedding: a full house turns messages away unseen, so the least worth where most wait goes."""
+        longest = max(self.destinations.values(), key=lambda d: len(d.held))
+        unsent = [m for m in longest.held.values() if not m.attempts]
+        if unsent:
+            self.give_up(min(unsent, key=lambda m: (m.worth / m.cls.worth, self.urgency(m))))
+
+    def turn(self, key: int) -> Turn:
+        if key not in self.turns:
+            if len(self.turns) > 2 * self.settings.max_held:
+                self.turns = {k: t for k, t in self.turns.items() if t.line or t.rests_until > self.now}
+            self.turns[key] = Turn()
+        return self.turns[key]
+
+    def hold(self, message: Message) -> None:
+        message.destination.held[message.id] = message
+        heapq.heappush(self.ends, (self.latest_start(message), message.id))
+
+    def latest_start(self, message: Message) -> float:
+        """Past this nothing is sent: a usual call would end too late, or a repeat would count twice."""
+        latest = message.deadline - self.usual_call(message)
+        if message.ran_at < math.inf and message.cls.effect is Effect.KEYED:
+            latest = min(latest, message.ran_at + message.cls.window_ms)
+        return latest
+
+    def usual_call(self, message: Message) -> float:
+        return self.usual[message.number] * max(message.destination.stretch, 1.0)
+
+    def end_late(self) -> None:
+        while self.ends and self.ends[0][0] <= self.now:
+            message = self.messages.get(heapq.heappop(self.ends)[1])
+            if message is None or message.over or message.id not in message.destination.held:
+                continue
+            if self.latest_start(message) > self.now:
+                heapq.heappush(self.ends, (self.latest_start(message), message.id))
+            else:
+                self.give_up(message)
+
+    def give_up(self, message: Message) -> None:
+        """The final answer: what was never sent may safely come again, what was tried promises nothing."""
+        answer = api.Fail(message.id) if message.attempts else api.Refuse(message.id)
+        self.actions.append(answer)
+        self.close(message)
+
+    def close(self, message: Message) -> None:
+        """The message is over; its attempts that are still out are called off and awaited."""
+        message.destination.held.pop(message.id, None)
+        if not message.over and self.settings.may_cancel:
+            for number, call in enumerate(message.attempts):
+                if call is not None:
+                    self.actions.append(api.Cancel(message.id, number))
+        message.over = True
+        self.forget(message)
+
+    def forget(self, message: Message) -> None:
+        if message.over and not message.out and self.messages.pop(message.id, None) and message.key:
+            self.turns[message.key].line.remove(message)
+
+    # Outcomes
+
+    def attempt_ended(self, event: AttemptEnded) -> None:
+        message = self.messages.get(event.message)
+        call = message.attempts[event.attempt] if message and event.attempt < len(message.attempts) else None
+        if call is None:
+            return
+        if call.endpoint.name != event.endpoint:
+            raise ValueError(f"message {event.message}: attempt {event.attempt} went to {call.endpoint.name}")
+        message.attempts[event.attempt] = None
+        message.out -= 1
+        self.settle(call, event)
+        if not event.outcome.never_ran and call.sent_at < message.ran_at:
+            message.ran_at, message.ran_zone = call.sent_at, call.endpoint.zone
+        if message.key and event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
+            self.turns[message.key].rests_until = self.now + self.settings.order_settle_ms
+        if message.over:
+            self.forget(message)
+        elif event.finished:
+            self.close(message)
+        elif not message.out:
+            self.try_further(message, call, event.outcome)
+
+    def settle(self, call: Call, event: AttemptEnded) -> None:
+        """Free the slot when all messages of the call are back; learn from a call once."""
+        call.left -= 1
+        if not call.left:
+            self.used -= 1
+            del call.destination.calls[call.number], call.endpoint.calls[call.number]
+            if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
+                call.endpoint.idle.append(self.now)
+                self.parked.append((self.now, call.endpoint))
+        call.endpoint.lane.heed(self.now, event.wait_ms)  # each message of a call may tell a wait of its own
+        if call.judged or event.outcome in (Outcome.MOOT, Outcome.CANCELLED):
+            return
+        call.judged = True
+        if event.outcome is Outcome.CONNECT_FAILED and not call.endpoint.strikes:
+            self.distrust(self.keep_ms())
+        elif call.idle_ms and event.outcome in (Outcome.RESET, Outcome.TIMEOUT) and not self.lasts(call):
+            self.distrust(call.idle_ms)
+            return
+        self.learn(call.endpoint, event.outcome, call.sent_at, event.wait_ms)
+        if event.outcome is Outcome.OK:
+            self.time_call(call, event.took_ms)
+
+    # Connections are kept idle for as long as they are seen to last. Guards against those dropped unseen, on
+    # which a message may be lost; such a failure tells nothing of the endpoint. Guards as well against tables
+    # full of idle ones, where connects fail. It hurts where an outage is taken for either: more handshakes.
+
+    def keep_ms(self) -> float:
+        grown = self.keep * 2.0 ** min((self.now - self.keep_at) / KEEP_DOUBLES_MS, 64.0)
+        return min(grown, self.settings.conn_idle_ms)
+
+    def lasts(self, call: Call) -> bool:
+        """Another call was answered meanwhile on a connection that had idled as long: it is not to blame."""
+        return self.proven >= call.idle_ms and self.proven_at >= call.sent_at
+
+    def distrust(self, idle_ms: float) -> None:
+        self.keep = max(min(self.keep_ms(), KEEP_CUT * idle_ms), KEEP_LEAST * self.settings.conn_idle_ms)
+        self.keep_at = self.now
+
+    def hang_up(self) -> None:
+        oldest = self.now - self.keep_ms()
+        while self.parked and self.parked[0][0] <= oldest:
+            endpoint = self.parked.popleft()[1]
+            if endpoint.idle and endpoint.idle[0] <= oldest:
+                endpoint.idle.clear()
+                self.actions.append(api.HangUp(endpoint.name))
+
+    def time_call(self, call: Call, took: float) -> None:
+        if call.idle_ms >= self.proven or self.now - self.proven_at > FLOW_MS:
+            self.proven, self.proven_at = call.idle_ms, self.now
+        ratio = took / self.usual[call.cls]
+        destination = call.destination
+        destination.stretch += STRETCH_GAIN * (ratio - destination.stretch)
+        expected = took / max(destination.stretch, 0.1)  # never divided by next to nothing
+        self.usual[call.cls] += USUAL_GAIN * (expected - self.usual[call.cls])
+
+    def learn(self, endpoint: Endpoint, outcome: Outcome, sent_at: float, told_wait: float) -> None:
+        """Score the endpoint, keep its lane's limit and its breaker."""
+        success = outcome is Outcome.OK
+        endpoint.rate(self.now, success)
+        if outcome is not Outcome.CONNECT_FAILED and outcome is not Outcome.TIMEOUT:
+            endpoint.answered_at = self.now
+        if success:
+            endpoint.strikes = 0
+            endpoint.lane.note_taken(self.now)
+            self.recovered(endpoint)
+            return
+        if outcome is Outcome.FULL:
+            endpoint.lane.note_full(self.now, sent_at, told_wait, self.random.uniform(*JITTER))
+        if sent_at >= endpoint.struck_at:
+            endpoint.strikes += 1 if outcome is Outcome.FULL else 2
+            endpoint.struck_at = self.now
+        failing = endpoint.score < PRIOR and endpoint.strikes > 1  # one refusal proves no outage
+        if endpoint.strikes >= STRIKES or failing or told_wait > self.settings.fall_ms:
+            self.trip(endpoint, sent_at)
+
+    # Outages: a circuit breaker that opens on failures of any kind, tries one call at a time while half open
+    # and then lets the endpoint warm up. It guards against pushing over what returns cold, and against
+    # feeding messages to what is down, shut or silent. It hurts where failures were chance.
+
+    def trip(self, endpoint: Endpoint, sent_at: float) -> None:
+        if endpoint.tripped and sent_at < endpoint.opens_at:
+            return
+        endpoint.tripped, endpoint.warm = True, self.settings.cold_from
+        endpoint.opens_at = self.now + self.cold_gap(endpoint) * self.random.uniform(*JITTER)
+
+    def recovered(self, endpoint: Endpoint) -> None:
+        if endpoint.tripped:
+            endpoint.tripped, endpoint.strikes, endpoint.score = False, 0, max(endpoint.score, PRIOR)
+            endpoint.warm, endpoint.warm_at = self.settings.cold_from, self.now
+            endpoint.opens_at = self.now + self.cold_gap(endpoint)
+
+    def warmth(self, endpoint: Endpoint) -> float:
+        """The share of its capacity that a returned endpoint is sure to have by now."""
+        if endpoint.warm >= 1.0 or endpoint.tripped:
+            return endpoint.warm
+        grown = (1.0 - self.settings.cold_from) * (self.now - endpoint.warm_at)
+        warm = min(endpoint.warm + grown / max(self.settings.warm_within_ms, 1.0), 1.0)
+        if warm == 1.0:
+            endpoint.warm = 1.0
+        return warm
+
+    def cold_gap(self, endpoint: Endpoint) -> float:
+        """Time between calls to an endpoint that is cold: our part of what it can do, as told or observed."""
+        lane = endpoint.lane
+        pace = max(lane.part(), lane.told_rate / self.settings.dispatchers)
+        shared = sum(1 for other in lane.endpoints if other.state is State.READY) or 1
+        pace *= RETURN_SHARE * self.settings.fall_multiple * self.warmth(endpoint) / shared
+        gap = min(1000.0 / max(pace, 1e-9), TRIAL_GAP_MS * self.settings.dispatchers)
+        return max(gap, PAUSE_MS) if endpoint.tripped else gap
+
+    # The mechanism: what to do with a message next
+
+    def try_further(self, message: Message, call: Call, outcome: Outcome) -> None:
+        """After a failed attempt: stay at the first endpoint for quick failures only, else the next plan."""
+        if not self.may_resend(message):
+            self.give_up(message)
+            return
+        if outcome in (Outcome.ERROR, Outcome.RESET) and call.endpoint is message.first and message.retries:
+            message.retries -= 1
+        elif outcome is not Outcome.MOOT:
+            message.retries = 0
+            if message.plans is None:
+                message.plans = self.plan(message)
+        message.tries += 1
+        rest = RETRY_CALLS * self.usual_call(message) * 2.0 ** (message.tries - 1)
+        message.not_before = self.now + min(rest, REST_TOP_MS) if outcome is not Outcome.FULL else self.now
+        self.hold(message)
+
+    def may_resend(self, message: Message) -> bool:
+        if len(message.attempts) >= self.settings.max_attempts or self.now >= self.latest_start(message):
+            return False
+        return message.ran_at == math.inf or message.cls.effect is not Effect.UNSAFE
+
+    def allowed(self, message: Message, endpoint: Endpoint) -> bool:
+        """The rules on drains and on repeats."""
+        keyed = message.cls.effect is Effect.KEYED and message.cls.group is not api.Group.ALL
+        bound = keyed and message.ran_at < math.inf
+        return endpoint.state is State.READY and (not bound or endpoint.zone == message.ran_zone)
+
+    def rank(self, endpoint: Endpoint) -> float:
+        """The score, less what tells near equals apart: calls already out, the fee, a new connection."""
+        fees = self.settings.zone_fees
+        fee = fees[endpoint.zone] if fees and self.settings.kinds[endpoint.kind].apart else 0.0
+        return (
+            endpoint.score_at(self.now)
+            - LOAD_DISCOUNT * len(endpoint.calls)
+            - FEE_DISCOUNT * fee
+            - (0.0 if endpoint.idle else COLD_CONN_DISCOUNT)
+        )
+
+    def ranked(self, endpoints: list[Endpoint]) -> list[Endpoint]:
+        return sorted(endpoints, key=self.rank, reverse=True)
+
+    def plan(self, message: Message) -> list[list[Endpoint]]:
+        """Algorithm 1 over the endpoints after the first; what is left at the end makes a last plan."""
+        rest = self.ranked(
+            [e for e in message.destination.endpoints if e is not message.first and e.state is State.READY]
+        )
+        plans, members, missing, least = [], [], 1.0, 1
+        for endpoint in rest:
+            members.append(endpoint)
+            missing *= 1.0 - endpoint.score_at(self.now)
+            if len(members) >= least and 1.0 - missing >= TARGET:
+                plans.append(members)
+                least, members, missing = len(members), [], 1.0
+        return plans + [members] if members else plans
+
+    def targets(self, message: Message) -> list[Endpoint]:
+        """Where the message goes next, or nothing while it must be held."""
+        if message.plans is None:
+            if message.first is None or not self.allowed(message, message.first):
+                usable = [e for e in message.destination.endpoints if self.usable(message, e)]
+                return self.ranked(usable)[:1]
+            if self.usable(message, message.first):
+                return [message.first]
+            message.plans = self.plan(message)
+        while message.plans:
+            members = [e for e in message.plans[0] if self.usable(message, e)]
+            if members:
+                return members if self.copies(message) else members[:1]
+            if any(self.allowed(message, e) and not e.tripped for e in message.plans[0]):
+                break
+            message.plans.pop(0)
+        if not message.plans:
+            message.start_over()
+        usable = [e for e in message.destination.endpoints if self.usable(message, e)]
+        return self.ranked(usable)[:1]
+
+    def copies(self, message: Message) -> bool:
+        return self.settings.second_copies and message.cls.effect is Effect.SAFE and not message.key
+
+    def usable(self, message: Message, endpoint: Endpoint) -> bool:
+        return self.allowed(message, endpoint) and self.open_at(message, endpoint) <= self.now
+
+    def open_at(self, message: Message, endpoint: Endpoint) -> float:
+        """When waits, pace, breaker and silence let a call go there; infinite if only an outcome tells."""
+        at = endpoint.lane.open_at(self.now)
+        if endpoint.tripped:
+            if endpoint.calls:
+                return math.inf
+            unsafe = message.cls.effect is Effect.UNSAFE  # a trial may lose it: others go first
+            return max(at, endpoint.opens_at + (self.cold_gap(endpoint) if unsafe else 0.0))
+        if endpoint.warm < 1.0:
+            at = max(at, endpoint.opens_at)
+        return math.inf if self.silent(endpoint) else at
+
+    def silent(self, endpoint: Endpoint) -> bool:
+        """Guards against filling slots with calls to what hangs: the oldest call is long overdue and nothing
+        has been answered since it went."""
+        call = next(iter(endpoint.calls.values()), None)
+        late = call is not None and self.now - call.sent_at > SILENT_CALL * call.usual
+        return late and endpoint.answered_at < call.sent_at
+
+    # Sending
+
+    def cap(self, destination: Destination) -> int:
+        """The bulkhead: slots that one destination may hold."""
+        oldest = next(iter(destination.calls.values()), None)
+        slow = oldest is not None and self.now - oldest.sent_at > SLOW_CALL * oldest.usual
+        failing = any(e.score_at(self.now) < PRIOR for e in destination.endpoints if e.state is State.READY)
+        return max(int(self.settings.slots * (SICK_SHARE if slow or failing else DEST_SHARE)), 1)
+
+    def urgency(self, message: Message) -> float:
+        """Worth that waiting loses: grows as the aim comes near, then follows the worth that is left."""
+        cls, call = message.cls, self.usual_call(message)
+        age = self.now + call - message.born
+        late = age - cls.aim_ms
+        worth, slack = message.worth, 0.0
+        if late <= 0:
+            slack = -late
+        elif self.settings.worth_halves:
+            worth *= 0.5 ** (late / cls.aim_ms)
+            if worth <= cls.late_worth * message.worth:
+                worth, slack = cls.late_worth * message.worth, message.deadline - self.now - call
+        else:
+            worth *= 1.0 - cls.late_worth
+        return worth / cls.aim_ms * math.exp(-slack / (PATIENCE * cls.aim_ms))
+
+    def ready(self, message: Message) -> bool:
+        if message.not_before > self.now:
+            return False
+        if not message.key:
+            return True
+        turn = self.turns[message.key]
+        return turn.line[0] is message and (turn.rests_until <= self.now or bool(message.attempts))
+
+    def waiting(self, destination: Destination) -> list[Message]:
+        held = [m for m in destination.held.values() if self.ready(m)]
+        return sorted(held, key=self.urgency, reverse=True)
+
+    def best_held(self, destination: Destination) -> tuple[float, Message, list[Endpoint]] | None:
+        if not destination.held or len(destination.calls) >= self.cap(destination):
+            return None
+        if not any(e.lane.open_at(self.now) <= self.now for e in destination.endpoints):
+            return None
+        for message in self.waiting(destination):
+            targets = self.targets(message)
+            if targets:
+                return self.urgency(message), message, targets
+        return None
+
+    def dispatch(self) -> None:
+        """Send the most urgent messages while slots last."""
+        choices = {}
+        if self.used < self.settings.slots:
+            bests = ((number, self.best_held(held)) for number, held in self.destinations.items())
+            choices = {number: best for number, best in bests if best}
+        while choices and self.used < self.settings.slots:
+            number = max(choices, key=lambda n: choices[n][0])
+            _, message, targets = choices.pop(number)
+            self.send(message, targets)
+            if best := self.best_held(message.destination):
+                choices[number] = best
+
+    def send(self, message: Message, targets: list[Endpoint]) -> None:
+        destination = message.destination
+        room = min(self.settings.slots - self.used, self.cap(destination) - len(destination.calls))
+        room = min(room, self.settings.max_attempts - len(message.attempts))
+        targets = targets[: max(room, 1)]
+        if message.first is None:
+            message.first = targets[0]
+        if message.plans:
+            plan = [e for e in message.plans[0] if e not in targets]
+            message.plans = ([plan] if plan and not self.copies(message) else []) + message.plans[1:]
+        for endpoint in targets:
+            call = self.call(message, endpoint)
+            self.attempt(message, call)
+            if endpoint is targets[0] and len(targets) == 1:
+                self.fill(call)
+
+    def call(self, message: Message, endpoint: Endpoint) -> Call:
+        self.calls_made += 1
+        destination, usual = message.destination, self.usual_call(message)
+        call = Call(self.calls_made, endpoint, message, self.now, usual)
+        self.used += 1
+        destination.calls[call.number] = endpoint.calls[call.number] = call
+        endpoint.lane.note_sent(self.now)
+        if endpoint.warm < 1.0 and not endpoint.tripped:
+            endpoint.opens_at = max(endpoint.opens_at, self.now) + self.cold_gap(endpoint)
+        return call
+
+    def attempt(self, message: Message, call: Call) -> None:
+        message.destination.held.pop(message.id, None)
+        message.attempts.append(call)
+        message.out += 1
+        call.left += 1
+        aims = TIMEOUT_AIMS[message.cls.effect]
+        if call.idle_ms and self.keep_ms() < self.settings.conn_idle_ms:  # it may have been dropped unseen
+            aims *= DOUBTED_SHARE
+        patience = max(TIMEOUT_CALLS * call.usual, aims * message.cls.aim_ms)
+        stop_at = min(self.now + patience, message.deadline)
+        self.actions.append(api.Send(message.id, call.endpoint.name, stop_at))
+
+    def fill(self, call: Call) -> None:
+        """Messages of one round to one endpoint share the call where the kind takes several."""
+        room = self.settings.kinds[call.endpoint.kind].batch - 1
+        if room <= 0 or call.endpoint.tripped:
+            return
+        riders = [m for m in self.waiting(call.destination) if self.allowed(m, call.endpoint)]
+        for message in riders[:room]:
+            if message.first is None:
+                message.first = call.endpoint
+            self.attempt(message, call)
+
+    # The next wake-up
+
+    def set_alarm(self) -> None:
+        """Keep one reminder ahead: the earliest moment at which something held could change."""
+        at = min(self.ask_at, self.ends[0][0] if self.ends else math.inf)
+        if self.used < self.settings.slots:
+            for destination in self.destinations.values():
+                if destination.held:
+                    at = min(at, self.next_chance(destination))
+        at = max(at, self.now + self.settings.tick_ms)
+        if at < self.wakes_at:
+            self.wakes_at = at
+            self.actions.append(api.Remind(at - self.now))
+
+    def next_chance(self, destination: Destination) -> float:
+        message = next(iter(destination.held.values()))
+        ready = [e for e in destination.endpoints if e.state is State.READY]
+        opens = min((self.open_at(message, e) for e in ready), default=math.inf)
+        rests = math.inf
+        for held in destination.held.values():
+            rest = max(held.not_before, self.turns[held.key].rests_until if held.key else -math.inf)
+            rests = min(rests, rest if rest > self.now else math.inf)
+        return rests if opens <= self.now else min(opens, rests)
