--- a/crowpier/interface.py
+++ b/crowpier/interface.py
@@ -194,7 +194,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrived:
-    """A message was taken; it must end exactly once, within `left_ms`."""
+    """A message was taken; it must end exactly once, within `left_ms`.
+
+    One that an earlier process took comes with the `attempts` it has had, all of which are over. If one may
+    have run, `ran_ago_ms` and `ran_endpoint` tell when and where the first such went.
+    """
 
     message: int
     cls: int
@@ -203,6 +207,16 @@
     tenant: int = 0
     key: int = 0
     again: bool = False
+    attempts: int = 0
+    ran_ago_ms: float | None = None
+    ran_endpoint: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """The process will end `in_ms` from now: what is out by then has no known outcome."""
+
+    in_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,7 +255,7 @@
     message: int
 
 
-Event = Listed | Arrived | AttemptEnded | ProbeEnded | Reminded | Withdrawn
+Event = Listed | Arrived | AttemptEnded | ProbeEnded | Reminded | Withdrawn | Leaving
 
 
 # Actions
--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -41,6 +41,7 @@
 TIMEOUT_CALLS = 4.0  # a call is given up after this times its usual time, but not before the class's aim
 TIMEOUT_AIMS = {Effect.SAFE: 2.0, Effect.KEYED: 1.0, Effect.UNSAFE: 8.0}  # unsafe: giving up loses it
 DOUBTED_SHARE = 0.25  # of that while idle connections are known to fail and this call went on one
+LEAVE_CALLS = 4.0  # usual calls: so long before the process ends, no unsafe message is sent any more
 RETRY_CALLS = 0.25  # of a usual call: rest before the first further try, doubled with each
 REST_TOP_MS = 2_000.0  # no rest of our own is longer, a wanted time is of that order
 # Limits
@@ -219,7 +220,7 @@
         self.ends: list[tuple[float, int]] = []
         self.usual = [FIRST_USUAL * cls.aim_ms for cls in settings.classes]
         self.used = self.calls_made = 0
-        self.wakes_at = math.inf
+        self.wakes_at = self.leaves_at = math.inf
         self.parked: deque[tuple[float, Endpoint]] = deque()  # connections in the order of falling idle
         self.keep, self.keep_at = settings.conn_idle_ms, 0.0
         self.proven, self.proven_at = 0.0, -math.inf  # the longest idling of late that did no harm
@@ -250,6 +251,8 @@
             self.close(self.messages[event.message])
         elif isinstance(event, api.Reminded):
             self.wakes_at = math.inf  # a clock that rounds may wake us a trifle early
+        elif isinstance(event, api.Leaving):
+            self.leaves_at = self.now + event.in_ms
 
     # The list
 
@@ -303,6 +306,13 @@
         self.messages[event.message] = message
         if message.key:
             self.turn(message.key).line.append(message)
+        message.attempts += [None] * event.attempts
+        if event.ran_ago_ms is not None:  # under an earlier process
+            ran = self.endpoints.get(event.ran_endpoint)
+            message.ran_at, message.ran_zone = self.now - event.ran_ago_ms, ran.zone if ran else -1
+        if event.attempts and not self.may_resend(message):
+            self.give_up(message)
+            return
         self.hold(message)
         if len(self.messages) > FULL_HOUSE * self.settings.max_held:
             self.shed()
@@ -637,13 +647,19 @@
         return worth / cls.aim_ms * math.exp(-slack / (PATIENCE * cls.aim_ms))
 
     def ready(self, message: Message) -> bool:
-        if message.not_before > self.now:
+        if message.not_before > self.now or self.held_back(message):
             return False
         if not message.key:
             return True
         turn = self.turns[message.key]
         return turn.line[0] is message and (turn.rests_until <= self.now or bool(message.attempts))
 
+    def held_back(self, message: Message) -> bool:
+        """Guards against an unsafe call that is out when the process ends: nobody would know what it did."""
+        if message.cls.effect is not Effect.UNSAFE or self.leaves_at == math.inf:
+            return False
+        return self.now + LEAVE_CALLS * self.usual_call(message) > self.leaves_at
+
     def waiting(self, destination: Destination) -> list[Message]:
         held = [m for m in destination.held.values() if self.ready(m)]
         return sorted(held, key=self.urgency, reverse=True)
--- /dev/null
+++ b/rushhitch/__main__.py
@@ -0,0 +1,142 @@
+"""Start of the dispatcher: configuration, wiring and signals. Run as `python -m rushhitch`."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import random
+import signal
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from crowpier import Dispatcher
+from crowpier.benchlink import settings_of
+from crowpier.interface import Settings
+from rushhitch.clients import Clients
+from rushhitch.connection import parse_address
+from rushhitch.discovery import Notices, Watch
+from rushhitch.journal import Journal
+from rushhitch.node import Node
+
+log = logging.getLogger("rushhitch")
+
+ACCEPT_S = 0.6  # after SIGTERM: connections go on coming for a while
+LEAVE_S = 3.3  # after SIGTERM: what is not over by then stays in the journal
+OWN_FILES = 256  # descriptors kept for endpoints, discovery and the process itself
+
+
+class BadConfiguration(ValueError):
+    """The configuration makes no sense; the text says what is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """What the dispatcher is told at its start."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    state: Path
+    seed: int
+    sockets: int
+    disk_bytes: float
+    known: dict[str, Any]
+    settings: Settings
+
+
+def read_configuration(environ: Mapping[str, str]) -> Configuration:
+    """From the variables and the file that `ROUTER_CONFIG` names; the variables go first."""
+    for name in ("ROUTER_CONFIG", "ROUTER_STATE"):
+        if not environ.get(name):
+            raise BadConfiguration(f"{name} is not set")
+    path = environ["ROUTER_CONFIG"]
+    try:
+        told = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise BadConfiguration(f"ROUTER_CONFIG: {path}: {error}") from None
+    if not isinstance(told, dict):
+        raise BadConfiguration(f"ROUTER_CONFIG: {path}: not an object")
+    state = Path(environ["ROUTER_STATE"])
+    if not state.is_dir():
+        raise BadConfiguration(f"ROUTER_STATE: {state} is not a folder")
+    try:
+        limits = told["limits"]
+        return Configuration(
+            environ.get("ROUTER_NAME") or str(told["name"]),
+            parse_address(environ.get("ROUTER_LISTEN") or told["listen"]),
+            parse_address(environ.get("ROUTER_DISCOVERY") or told["discovery"]),
+            state,
+            int(told["seed"], 16),
+            int(limits["sockets"]),
+            float(limits["disk_mb"]) * 1e6,
+            dict(told.get("known") or {"version": 0, "full": True, "servers": []}),
+            settings_of(json.dumps(told["settings"]).encode()),
+        )
+    except KeyError as error:
+        raise BadConfiguration(f"ROUTER_CONFIG: {path}: {error.args[0]} is missing") from None
+    except (ValueError, TypeError, AttributeError) as error:
+        raise BadConfiguration(f"ROUTER_CONFIG: {path}: {error}") from None
+
+
+async def serve(configuration: Configuration) -> None:
+    """Run the dispatcher until SIGTERM or SIGINT, then for a little longer."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    journal = Journal(configuration.state, configuration.disk_bytes)
+    notices = Notices(configuration.discovery, lambda message: node.notice_heard(message))
+    node = Node(
+        configuration.settings,
+        Dispatcher(configuration.settings, configuration.seed),
+        journal,
+        notices.add,
+    )
+    node.listed(configuration.known, cached=True)
+    node.resume()
+    watch = Watch(
+        configuration.discovery,
+        int(configuration.known.get("version", 0)),
+        node.listed,
+        random.Random(configuration.seed),
+    )
+    background = [loop.create_task(watch.run()), loop.create_task(notices.run())]
+    clients = Clients(node, max(configuration.sockets - OWN_FILES, 16))
+    await clients.listen(configuration.listen)
+    log.info("%s is ready, %d messages resumed", configuration.name, len(node.by_id))
+    await stop.wait()
+    leave_at = loop.time() + LEAVE_S
+    log.info("%s is leaving, %d messages held", configuration.name, len(node.by_id))
+    node.leaving(leave_at)
+    await asyncio.sleep(ACCEPT_S)
+    clients.stop_listening()
+    clients.finish()
+    try:
+        async with asyncio.timeout_at(leave_at):
+            await node.idle.wait()
+            await notices.empty.wait()
+    except TimeoutError:
+        pass
+    log.info("%s ends, %d messages stay in the journal", configuration.name, len(journal.live))
+    for task in background:
+        task.cancel()
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    try:
+        configuration = read_configuration(os.environ)
+    except BadConfiguration as error:
+        print(f"rushhitch: {error}", file=sys.stderr)
+        return 2
+    asyncio.run(serve(configuration))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/rushhitch/discovery.py
@@ -0,0 +1,144 @@
+"""Discovery: the watch on the list, its reconnects, and the notices to the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+import h11
+
+from rushhitch.connection import Connection
+
+log = logging.getLogger(__name__)
+
+SILENCE_S = 5.0  # a watch says something every 2 s: after so long it is dead
+CONNECT_S = 1.0
+BACKOFF_S, BACKOFF_TOP_S = 0.2, 2.0  # between two watches: doubled each time, and stretched by chance
+NOTICE_S = 0.25  # notices are answered at once: after so long they are sent again on another connection
+NOTICE_REST_S = 0.05
+MOST_LINE = 4_000_000
+MOST_NOTICES = 100  # in one request
+BROKEN = (OSError, TimeoutError, h11.ProtocolError, ValueError)
+
+
+class Watch:
+    """Keeps a watch open from the version known; hands each line of it to `told`."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        version: int,
+        told: Callable[[dict[str, Any]], None],
+        chance: random.Random,
+        silence_s: float = SILENCE_S,
+    ) -> None:
+        self.address, self.version, self.told = address, version, told
+        self.chance, self.silence_s = chance, silence_s
+        self.failures = 0
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self.watch()
+            except BROKEN as error:
+                log.info("watch ended: %r", error)
+            except Exception:
+                log.exception("watch failed")
+            rest = min(BACKOFF_S * 2.0 ** min(self.failures, 16), BACKOFF_TOP_S)
+            self.failures += 1
+            await asyncio.sleep(rest * self.chance.uniform(0.5, 1.5))
+
+    async def watch(self) -> None:
+        """One watch, until it breaks or falls silent."""
+        async with asyncio.timeout(CONNECT_S):
+            connection = await Connection.open(self.address)
+        try:
+            await connection.send("GET", f"/discovery/hosts?watch=1&from={self.version}", [])
+            async with asyncio.timeout(self.silence_s):
+                response = await connection.response()
+            if response.status_code != 200:
+                raise ConnectionError(f"discovery answered {response.status_code}")
+            rest = b""
+            while True:
+                async with asyncio.timeout(self.silence_s):
+                    event = await connection.event()
+                if not isinstance(event, h11.Data):
+                    raise ConnectionError("discovery ended the watch")
+                *lines, rest = (rest + bytes(event.data)).split(b"\n")
+                if len(rest) > MOST_LINE:
+                    raise ValueError(f"a line of more than {MOST_LINE} bytes")
+                for line in lines:
+                    self.failures = 0
+                    if line.strip():
+                        self.read(line)
+        finally:
+            connection.close()
+
+    def read(self, line: bytes) -> None:
+        news = json.loads(line)
+        if not isinstance(news, dict) or not isinstance(news.get("version"), int):
+            raise ValueError(f"a line of the watch has no version: {line[:80]!r}")
+        self.told(news)
+        self.version = news["version"]
+
+
+class Notices:
+    """Tells the platform of each end until it has heard: 204 is its word for that."""
+
+    def __init__(self, address: tuple[str, int], heard: Callable[[bytes], None]) -> None:
+        self.address, self.heard = address, heard
+        self.due: dict[bytes, dict[str, Any]] = {}
+        self.wake, self.empty = asyncio.Event(), asyncio.Event()
+        self.empty.set()
+        self.connection: Connection | None = None
+
+    def add(self, message: bytes, result: str, wait_ms: float) -> None:
+        notice: dict[str, Any] = {"ref": message.decode("latin-1"), "result": result}
+        if wait_ms > 0:
+            notice["wait_ms"] = int(wait_ms)
+        self.due[message] = notice
+        self.empty.clear()
+        self.wake.set()
+
+    async def run(self) -> None:
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            while self.due:
+                try:
+                    await self.post(list(self.due)[:MOST_NOTICES])
+                    continue
+                except BROKEN as error:
+                    log.info("notices are sent again: %r", error)
+                except Exception:
+                    log.exception("notices failed")
+                self.drop_connection()
+                await asyncio.sleep(NOTICE_REST_S)
+            self.empty.set()
+
+    async def post(self, messages: list[bytes]) -> None:
+        body = b"".join(json.dumps(self.due[message]).encode() + b"\n" for message in messages)
+        async with asyncio.timeout(NOTICE_S):
+            if self.connection is not None and not self.connection.quiet():
+                self.drop_connection()
+            if self.connection is None:
+                self.connection = await Connection.open(self.address)
+            await self.connection.send("POST", "/status", [], body)
+            response = await self.connection.response()
+            await self.connection.body(MOST_LINE)
+        if response.status_code != 204:
+            raise ConnectionError(f"a notice was answered {response.status_code}")
+        for message in messages:
+            del self.due[message]
+            self.heard(message)
+        if not self.connection.next_cycle():
+            self.drop_connection()
+
+    def drop_connection(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
--- /dev/null
+++ b/rushhitch/journal.py
@@ -0,0 +1,207 @@
+"""The dispatcher's journal in the folder that lasts: append, replay, compact.
+
+A record is a line: the CRC-32 of its text in hex, a space, and a JSON list that begins with what happened.
+Nothing is synced, since what was written outlasts the process. Times are Unix time in seconds here.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import logging
+import os
+import zlib
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+log = logging.getLogger(__name__)
+
+COMPACT_SHARE = 1 / 3  # of the disk: a longer journal is written anew, with what is live only
+LIVE_SHARE = 1 / 4  # of the disk: what is live may take so much, so that old and new fit side by side
+RECORD_ROOM = 600  # bytes that a message's records take beyond its body, at most while it has few attempts
+
+
+@dataclass(slots=True)
+class Kept:
+    """A message that was taken on and is not over, as far as the journal knows."""
+
+    id: bytes
+    cls: str
+    destination: int
+    deadline: float
+    body: bytes
+    key: int = 0
+    again: bool = False
+    attempts: int = 0
+    out: dict[int, tuple[str, float]] = field(default_factory=dict)  # attempts with no outcome: where, when
+    ran: tuple[str, float] | None = None  # the first attempt that had an outcome and may have run
+    notice: tuple[str, float] | None = None  # it has ended; the platform has yet to be told how
+
+    @property
+    def first_run(self) -> tuple[str, float] | None:
+        """Where and when it may have run first; an attempt without an outcome may have."""
+        runs = [*self.out.values(), *([self.ran] if self.ran else [])]
+        return min(runs, key=lambda run: run[1], default=None)
+
+    @property
+    def size(self) -> int:
+        return RECORD_ROOM + len(self.body) * 4 // 3
+
+
+class Journal:
+    """What is live (`live`, by id) and the file from which a later process learns the same."""
+
+    def __init__(self, folder: Path, disk_bytes: float) -> None:
+        self.path, self.draft = folder / "journal", folder / "journal.new"
+        self.disk_bytes = disk_bytes
+        self.live: dict[bytes, Kept] = {}
+        self.live_bytes = 0
+        self.lines: list[bytes] = []
+        self.fd, self.size = -1, 0
+        self.torn = False
+        self.replay()
+        self.compact()
+
+    # What can happen to a message. Nothing is on disk before `flush`.
+
+    def take(self, kept: Kept) -> None:
+        self.note("take", *self.taken(kept))
+
+    def attempt(self, message: bytes, number: int, endpoint: str, at: float) -> None:
+        self.note("try", message.decode("latin-1"), number, endpoint, at)
+
+    def outcome(self, message: bytes, number: int, may_have_run: bool) -> None:
+        self.note("got", message.decode("latin-1"), number, may_have_run)
+
+    def owe(self, message: bytes, result: str, wait_ms: float) -> None:
+        """The message has ended, and the platform must be told."""
+        self.note("owe", message.decode("latin-1"), result, wait_ms)
+
+    def end(self, message: bytes) -> None:
+        """Nothing more is owed."""
+        self.note("end", message.decode("latin-1"))
+
+    def has_room(self, body: int) -> bool:
+        return self.live_bytes + RECORD_ROOM + body * 4 // 3 <= LIVE_SHARE * self.disk_bytes
+
+    def flush(self) -> None:
+        """Write what was noted; an `OSError` if the disk does not take it."""
+        if not self.lines:
+            return
+        data = b"".join(self.lines)
+        self.lines.clear()
+        if self.torn:
+            data = b"\n" + data
+        self.torn = True
+        self.write(self.fd, data)
+        self.torn = False
+        self.size += len(data)
+        if self.size > COMPACT_SHARE * self.disk_bytes:
+            self.compact()
+
+    # Records
+
+    @staticmethod
+    def taken(kept: Kept) -> tuple[Any, ...]:
+        body = base64.b64encode(kept.body).decode()
+        return (
+            kept.id.decode("latin-1"),
+            kept.cls,
+            kept.destination,
+            kept.deadline,
+            kept.key,
+            kept.again,
+            body,
+        )
+
+    @staticmethod
+    def line(*record: Any) -> bytes:
+        text = json.dumps(record, separators=(",", ":")).encode()
+        return b"%08x %s\n" % (zlib.crc32(text), text)
+
+    @staticmethod
+    def record(line: bytes) -> list[Any]:
+        crc, _, text = line.partition(b" ")
+        if len(crc) != 8 or int(crc, 16) != zlib.crc32(text):
+            raise ValueError("its checksum is wrong")
+        return json.loads(text)
+
+    def note(self, *record: Any) -> None:
+        self.lines.append(self.line(*record))
+        self.apply(*record)
+
+    def apply(self, what: str, message: str, *rest: Any) -> None:
+        """Follow one record, new or replayed."""
+        name = message.encode("latin-1")
+        if what == "take":
+            cls, destination, deadline, key, again, body = rest
+            kept = Kept(name, cls, destination, deadline, base64.b64decode(body), key, again)
+            self.live[name] = kept
+            self.live_bytes += kept.size
+            return
+        kept = self.live[name]
+        if what == "try":
+            number, endpoint, at = rest
+            kept.out[number] = (endpoint, at)
+            kept.attempts = max(kept.attempts, number + 1)
+        elif what == "got":
+            number, may_have_run = rest
+            where = kept.out.pop(number)
+            if may_have_run and (kept.ran is None or where[1] < kept.ran[1]):
+                kept.ran = where
+        elif what == "sum":
+            kept.attempts, ran = rest
+            kept.ran = tuple(ran) if ran else None
+        elif what == "owe":
+            kept.notice = (rest[0], rest[1])
+            self.live_bytes -= kept.size
+            kept.body = b""
+            self.live_bytes += kept.size
+        elif what == "end":
+            self.live_bytes -= self.live.pop(name).size
+        else:
+            raise ValueError(f"it tells of {what!r}")
+
+    # The file
+
+    def replay(self) -> None:
+        try:
+            data = self.path.read_bytes()
+        except FileNotFoundError:
+            return
+        lines = data.split(b"\n")
+        if lines.pop():  # a process that is killed while it writes leaves a torn last record
+            log.info("journal: the last record is torn and is left out")
+        for number, line in enumerate(lines, 1):
+            if not line:
+                continue
+            try:
+                self.apply(*self.record(line))
+            except (ValueError, TypeError, KeyError) as error:
+                log.warning("journal: record %d is skipped: %s: %s", number, type(error).__name__, error)
+
+    def compact(self) -> None:
+        """Write what is live into a new file and put that in the place of the old one."""
+        lines = []
+        for kept in self.live.values():
+            name = kept.id.decode("latin-1")
+            lines.append(self.line("take", *self.taken(kept)))
+            if kept.attempts:
+                lines.append(self.line("sum", name, kept.attempts, kept.ran))
+            lines += (self.line("try", name, number, *where) for number, where in kept.out.items())
+            if kept.notice:
+                lines.append(self.line("owe", name, *kept.notice))
+        data = b"".join(lines)
+        fd = os.open(self.draft, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        self.write(fd, data)
+        os.replace(self.draft, self.path)
+        if self.fd >= 0:
+            os.close(self.fd)
+        self.fd, self.size = fd, len(data)
+
+    @staticmethod
+    def write(fd: int, data: bytes) -> None:
+        rest = memoryview(data)
+        while rest:
+            rest = rest[os.write(fd, rest) :]
--- /dev/null
+++ b/rushhitch/node.py
@@ -0,0 +1,328 @@
+"""The loop round `Dispatcher.handle`: gathers the events of one tick, carries out the actions, maps ids."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from crowpier import Dispatcher
+from crowpier import interface as api
+from crowpier.interface import Outcome, Settings, State
+from rushhitch.clients import Answer, BadRequest, Offer
+from rushhitch.connection import parse_address
+from rushhitch.endpoints import Attempt, Endpoints, Place, Result
+from rushhitch.journal import Journal, Kept
+
+log = logging.getLogger(__name__)
+
+STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
+OVERDUE_S = 0.1  # after its time is up, a message that the module has not ended is failed here
+BUSY_MS = 500  # told to a client where the house or the journal is full
+
+
+@dataclass(slots=True, eq=False)
+class Message:
+    """A message of this process; `answer` is there until its client has been answered."""
+
+    number: int
+    kept: Kept
+    answer: Answer | None = None
+    over: bool = False
+    out: set[int] = field(default_factory=set)
+    watchdog: asyncio.TimerHandle | None = None
+
+
+class Node:
+    """One dispatcher: everything that happens passes through `turn`."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        dispatcher: Dispatcher,
+        journal: Journal,
+        notify: Callable[[bytes, str, float], None],
+    ) -> None:
+        self.settings, self.dispatcher, self.journal, self.notify = settings, dispatcher, journal, notify
+        self.loop = asyncio.get_running_loop()
+        self.endpoints = Endpoints(settings, self.attempt_ended)
+        self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
+        self.kinds = {kind.name: position for position, kind in enumerate(settings.kinds)}
+        self.zones = {zone: position for position, zone in enumerate(settings.zones)}
+        self.destinations: set[int] = set()
+        self.messages: dict[int, Message] = {}
+        self.by_id: dict[bytes, Message] = {}
+        self.numbers = 0
+        self.events: list[api.Event] = []
+        self.fresh: list[Message] = []
+        self.gathering = False
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    # Events
+
+    def note(self, event: api.Event) -> None:
+        self.events.append(event)
+        if not self.gathering:
+            self.gathering = True
+            self.loop.call_later(self.settings.tick_ms / 1000.0, self.turn)
+
+    def listed(self, news: dict[str, Any], cached: bool = False) -> None:
+        """A list or its changes, in discovery's form; an entry that makes no sense is left out."""
+        full = bool(news.get("full"))
+        kind = api.ListKind.CACHED if cached else api.ListKind.FULL if full else api.ListKind.DELTA
+        entries = []
+        for row in news.get("servers", ()):
+            try:
+                entries.append(self.entry(row))
+            except (KeyError, TypeError, ValueError, AttributeError) as error:
+                log.warning("list: an entry is left out: %s: %s: %r", type(error).__name__, error, row)
+        if kind is not api.ListKind.DELTA:
+            named = {entry.endpoint for entry in entries}
+            for name in self.endpoints.places.keys() - named:
+                self.endpoints.bar(name)
+        self.note(api.Listed(kind, int(news.get("version", 0)), tuple(entries)))
+
+    def entry(self, row: dict[str, Any]) -> api.Entry:
+        entry = api.Entry(
+            str(row["id"]),
+            int(row["cell"]),
+            self.kinds[row["kind"]],
+            self.zones[row["zone"]],
+            STATES[row["state"]],
+            float(row.get("weight", 0.0)),
+        )
+        kind = self.settings.kinds[entry.kind]
+        lane = entry.endpoint if kind.apart else entry.destination
+        self.endpoints.place(
+            entry.endpoint, Place(parse_address(row["addr"]), lane, int(kind.batch), entry.state)
+        )
+        self.destinations.add(entry.destination)
+        return entry
+
+    def offer(self, offer: Offer, answer: Answer) -> int:
+        """A client hands a message in; it is answered at the end of the turn."""
+        if offer.cls not in self.classes:
+            raise BadRequest(f"unknown class {offer.cls[:40]!r}")
+        if offer.destination not in self.destinations:
+            raise BadRequest(f"unknown destination {offer.destination}")
+        if offer.id in self.by_id:
+            raise BadRequest("a message with this id is held already")
+        deadline = time.time() + offer.left_ms / 1000.0
+        kept = Kept(offer.id, offer.cls, offer.destination, deadline, offer.body, offer.key, offer.again)
+        if len(self.by_id) >= self.settings.max_held or not self.journal.has_room(len(offer.body)):
+            answer(b"-BUSY %d\r\n" % BUSY_MS)
+            return 0
+        message = self.enter(kept, answer)
+        self.fresh.append(message)
+        self.note(
+            api.Arrived(
+                message.number,
+                self.classes[offer.cls],
+                offer.destination,
+                offer.left_ms,
+                key=offer.key,
+                again=offer.again,
+            )
+        )
+        return message.number
+
+    def enter(self, kept: Kept, answer: Answer | None = None) -> Message:
+        self.numbers += 1
+        message = Message(self.numbers, kept, answer)
+        self.messages[message.number] = self.by_id[kept.id] = message
+        left = max(kept.deadline - time.time(), 0.0)
+        message.watchdog = self.loop.call_later(left + OVERDUE_S, self.overdue, message)
+        self.idle.clear()
+        return message
+
+    def withdraw(self, number: int) -> None:
+        """The client went without its answer and may hand the message in anew: nothing is owed."""
+        message = self.messages.get(number)
+        if message is not None and not message.over:
+            message.answer = None
+            self.close(message)
+            self.note(api.Withdrawn(number))
+
+    def overdue(self, message: Message) -> None:
+        """Guards against a message that fell through: its end is given even if the module gives none."""
+        if not message.over:
+            log.error("message %d is overdue and is failed", message.number)
+            self.answer_end(message, "dead", 0.0)
+            self.journal_flush()
+            self.note(api.Withdrawn(message.number))
+
+    def resume(self) -> None:
+        """Take up what an earlier process left in the journal: its time and its attempts go on."""
+        now = time.time()
+        for kept in list(self.journal.live.values()):
+            if kept.notice is not None:
+                self.notify(kept.id, *kept.notice)
+                continue
+            if kept.cls not in self.classes:
+                log.error("message %r is of class %r, which is gone: it is failed", kept.id, kept.cls)
+                self.journal.owe(kept.id, "dead", 0.0)
+                self.notify(kept.id, "dead", 0.0)
+                continue
+            message = self.enter(kept)
+            ran = kept.first_run
+            self.note(
+                api.Arrived(
+                    message.number,
+                    self.classes[kept.cls],
+                    kept.destination,
+                    max((kept.deadline - now) * 1000.0, 0.0),
+                    key=kept.key,
+                    again=kept.again,
+                    attempts=kept.attempts,
+                    ran_ago_ms=max((now - ran[1]) * 1000.0, 0.0) if ran else None,
+                    ran_endpoint=ran[0] if ran else "",
+                )
+            )
+        self.journal_flush()
+        if self.events:
+            self.turn()
+
+    def leaving(self, at: float) -> None:
+        """The process ends at that time of the event loop's clock."""
+        self.note(api.Leaving((at - self.loop.time()) * 1000.0))
+
+    def attempt_ended(self, result: Result) -> None:
+        message = self.messages[result.attempt.message]
+        message.out.discard(result.attempt.number)
+        if message.kept.id in self.journal.live and result.attempt.number in message.kept.out:
+            self.journal.outcome(message.kept.id, result.attempt.number, not result.outcome.never_ran)
+        if result.over:
+            self.close(message)
+        self.journal_flush()
+        self.note(
+            api.AttemptEnded(
+                message.number,
+                result.attempt.number,
+                result.endpoint,
+                result.outcome,
+                result.took_ms,
+                message.over,
+                result.wait_ms,
+            )
+        )
+        self.forget(message)
+
+    # Actions
+
+    def turn(self) -> None:
+        """Hand the module what has come, and carry out what it says."""
+        self.gathering = False
+        events, self.events = self.events, []
+        fresh, self.fresh = self.fresh, []
+        try:
+            actions = self.dispatcher.handle(self.loop.time() * 1000.0, events)
+        except Exception:
+            log.exception("the decision module failed on %d events", len(events))
+            actions = [api.Refuse(message.number) for message in fresh if not message.over]
+            for message in fresh:
+                self.note(api.Withdrawn(message.number))
+        sends: dict[str, list[Attempt]] = {}
+        for action in actions:
+            self.act(action, sends)
+        for message in fresh:
+            if not message.over:
+                self.journal.take(message.kept)
+                message.kept = self.journal.live[message.kept.id]
+        for endpoint, attempts in sends.items():
+            for attempt in attempts:
+                self.journal.attempt(attempt.id, attempt.number, endpoint, time.time())
+        if not self.journal_flush():
+            for message in fresh:
+                if not message.over:
+                    self.answer_end(message, "bounced", BUSY_MS)
+                    self.note(api.Withdrawn(message.number))
+        for message in fresh:
+            if not message.over and message.answer is not None:
+                message.answer(b"+OK\r\n")
+                message.answer = None
+        for endpoint, attempts in sends.items():
+            self.endpoints.send(endpoint, attempts)
+
+    def act(self, action: api.Action, sends: dict[str, list[Attempt]]) -> None:
+        match action:
+            case api.Send(number, endpoint, stop_at_ms):
+                message = self.messages[number]
+                attempt = message.kept.attempts + sum(
+                    a.message == number for listed in sends.values() for a in listed
+                )
+                message.out.add(attempt)
+                kept = message.kept
+                sends.setdefault(endpoint, []).append(
+                    Attempt(number, attempt, kept.id, kept.body, stop_at_ms / 1000.0)
+                )
+            case api.Fail(number):
+                self.answer_end(self.messages[number], "dead", 0.0)
+            case api.Refuse(number, stay_away_ms):
+                self.answer_end(self.messages[number], "bounced", stay_away_ms)
+            case api.Cancel(number, attempt):
+                self.endpoints.cancel(number, attempt)
+            case api.Remind(in_ms, token):
+                self.loop.call_later(in_ms / 1000.0, self.note, api.Reminded(token))
+            case api.Probe(endpoint):
+                self.endpoints.probe(endpoint, self.probe_ended)
+            case api.HangUp(endpoint):
+                self.endpoints.hang_up(endpoint)
+            case api.Subscribe():
+                pass  # the watch on the list is open always, and keeps itself open
+            case api.Log(text):
+                log.info("module: %s", text)
+
+    def probe_ended(self, endpoint: str, outcome: Outcome, took_ms: float) -> None:
+        self.note(api.ProbeEnded(endpoint, outcome, took_ms))
+
+    def answer_end(self, message: Message, result: str, wait_ms: float) -> None:
+        """The final answer: to the client if it still waits for one, else as a notice."""
+        if message.over:
+            return
+        if message.answer is not None:
+            answer, message.answer = message.answer, None
+            if result == "dead":
+                answer(b"-ERR the message cannot be delivered\r\n")
+            else:
+                answer(b"-BUSY %d\r\n" % wait_ms if wait_ms >= 1 else b"-BUSY\r\n")
+            self.close(message)
+            return
+        if message.kept.id in self.journal.live:
+            self.journal.owe(message.kept.id, result, wait_ms)
+        self.notify(message.kept.id, result, wait_ms)
+        self.close(message, noticed=True)
+
+    def close(self, message: Message, noticed: bool = False) -> None:
+        """The message is over; with a notice the journal keeps it until that is heard."""
+        if message.over:
+            return
+        message.over = True
+        if message.watchdog is not None:
+            message.watchdog.cancel()
+        if not noticed and message.kept.id in self.journal.live:
+            self.journal.end(message.kept.id)
+        self.by_id.pop(message.kept.id, None)
+        self.forget(message)
+        if not self.by_id:
+            self.idle.set()
+
+    def forget(self, message: Message) -> None:
+        if message.over and not message.out:
+            self.messages.pop(message.number, None)
+
+    def notice_heard(self, message: bytes) -> None:
+        if message in self.journal.live:
+            self.journal.end(message)
+            self.journal_flush()
+
+    def journal_flush(self) -> bool:
+        try:
+            self.journal.flush()
+        except OSError as error:
+            log.error("the journal cannot be written: %s", error)
+            return False
+        return True
