--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -367,10 +367,18 @@
 
     def give_up(self, message: Message) -> None:
         """The final answer: what was never sent may safely come again, what was tried promises nothing."""
-        answer = api.Fail(message.id) if message.attempts else api.Refuse(message.id)
-        self.actions.append(answer)
+        if message.attempts:
+            self.actions.append(api.Fail(message.id))
+        else:
+            self.actions.append(api.Refuse(message.id, self.stay_away(message)))
         self.close(message)
 
+    def stay_away(self, message: Message) -> float:
+        """When to come back: not before an endpoint may open, as far as that can be told."""
+        ready = [e for e in message.destination.endpoints if e.state is State.READY]
+        opens = min((self.open_at(message, e) for e in ready), default=math.inf) - self.now
+        return max(PAUSE_MS, min(opens, REST_TOP_MS, self.settings.max_retry_after_ms))
+
     def close(self, message: Message) -> None:
         """The message is over; its attempts that are still out are called off and awaited."""
         message.destination.held.pop(message.id, None)
--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -108,7 +108,7 @@
     background = [loop.create_task(watch.run()), loop.create_task(notices.run())]
     clients = Clients(node, max(configuration.sockets - OWN_FILES, 16))
     await clients.listen(configuration.listen)
-    log.info("%s is ready, %d messages resumed", configuration.name, len(node.by_id))
+    log.info("%s is ready on %s:%d, %d messages resumed", configuration.name, *clients.address, len(node.by_id))
     await stop.wait()
     leave_at = loop.time() + LEAVE_S
     log.info("%s is leaving, %d messages held", configuration.name, len(node.by_id))
--- a/rushhitch/clients.py
+++ b/rushhitch/clients.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,8 +10,7 @@
 
 import hiredis
 
-log = logging.getLogger(__name__)
-
+NOTHING = object()  # what the reader gives while no request is complete
 MOST_BODY = 65_536
 MOST_REQUEST = MOST_BODY + 4_096  # bytes of a request that is not complete: beyond this it never will be
 MOST_ID = 128
@@ -97,11 +95,12 @@
 
     def __init__(self, server: Clients) -> None:
         self.server, self.taker = server, server.taker
-        self.reader = hiredis.Reader()
+        self.reader = hiredis.Reader(notEnoughData=NOTHING)
         self.partial = 0
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
-        self.closing = False
+        self.deaf = False  # it sent what can't be read: nothing more is
+        self.finishing = False  # it is closed as soon as no request is under way
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -117,12 +116,12 @@
         self.slots.clear()
 
     def data_received(self, data: bytes) -> None:
-        if self.closing:
+        if self.deaf:
             return
         self.partial += len(data)
         try:
             self.reader.feed(data)
-            while (words := self.reader.gets()) is not False:
+            while (words := self.reader.gets()) is not NOTHING:
                 self.partial = 0
                 self.request(words)
         except (hiredis.HiredisError, MemoryError) as error:
@@ -153,22 +152,34 @@
             return
         while self.slots and self.slots[0].answer:
             self.transport.write(self.slots.popleft().answer)
-        if self.closing and not self.slots:
-            self.transport.close()
+        if self.finishing:
+            self.close_between()
 
     def refuse(self, text: str) -> None:
         """Say what is wrong, after the answers that are due, and close."""
         slot = Slot()
         self.slots.append(slot)
-        self.closing = True
+        self.deaf, self.partial, self.finishing = True, 0, True
         self.reply(slot, error_line(text))
 
     def finish(self) -> None:
-        """Close between requests: at once if no answer is due."""
-        self.closing = True
-        if not self.slots and self.transport is not None:
+        """Close between requests: at once if none is under way."""
+        self.finishing = True
+        self.close_between()
+
+    def close_between(self) -> None:
+        if not self.slots and not self.partial and self.transport is not None:
             self.transport.close()
 
+    def pause_writing(self) -> None:
+        """Guards against a client that asks on and on but takes no answers."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
 
 class Clients:
     """The listener and its connections."""
@@ -182,6 +193,11 @@
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(lambda: Client(self), *address, backlog=512)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        assert self.server is not None, "not listening yet"
+        return self.server.sockets[0].getsockname()
+
     def stop_listening(self) -> None:
         if self.server is not None:
             self.server.close()
--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -14,7 +14,7 @@
 def parse_address(text: str) -> tuple[str, int]:
     """`host:port` as a pair."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+    if not colon or not host or not port.isdecimal() or int(port) > 65_535:
         raise ValueError(f"not an address of the form host:port: {text!r}")
     return host, int(port)
 
--- a/rushhitch/discovery.py
+++ b/rushhitch/discovery.py
@@ -16,7 +16,7 @@
 log = logging.getLogger(__name__)
 
 SILENCE_S = 5.0  # a watch says something every 2 s: after so long it is dead
-CONNECT_S = 1.0
+CONNECT_S, ANSWER_S = 1.0, 3.0
 BACKOFF_S, BACKOFF_TOP_S = 0.2, 2.0  # between two watches: doubled each time, and stretched by chance
 NOTICE_S = 0.25  # notices are answered at once: after so long they are sent again on another connection
 NOTICE_REST_S = 0.05
@@ -58,7 +58,7 @@
             connection = await Connection.open(self.address)
         try:
             await connection.send("GET", f"/discovery/hosts?watch=1&from={self.version}", [])
-            async with asyncio.timeout(self.silence_s):
+            async with asyncio.timeout(ANSWER_S):
                 response = await connection.response()
             if response.status_code != 200:
                 raise ConnectionError(f"discovery answered {response.status_code}")
@@ -86,6 +86,10 @@
         self.version = news["version"]
 
 
+class Unreadable(Exception):
+    """The platform cannot read what it was sent."""
+
+
 class Notices:
     """Tells the platform of each end until it has heard: 204 is its word for that."""
 
@@ -105,13 +109,20 @@
         self.wake.set()
 
     async def run(self) -> None:
+        most = MOST_NOTICES
         while True:
             await self.wake.wait()
             self.wake.clear()
             while self.due:
                 try:
-                    await self.post(list(self.due)[:MOST_NOTICES])
+                    await self.post(list(self.due)[:most])
+                    most = MOST_NOTICES
                     continue
+                except Unreadable as error:
+                    # Guards against one bad notice that keeps all others from being told.
+                    if most == 1:
+                        log.error("a notice is given up: %s: %r", error, self.due.pop(next(iter(self.due))))
+                    most = 1
                 except BROKEN as error:
                     log.info("notices are sent again: %r", error)
                 except Exception:
@@ -130,6 +141,8 @@
             await self.connection.send("POST", "/status", [], body)
             response = await self.connection.response()
             await self.connection.body(MOST_LINE)
+        if response.status_code == 400:
+            raise Unreadable("the platform answered 400")
         if response.status_code != 204:
             raise ConnectionError(f"a notice was answered {response.status_code}")
         for message in messages:
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
 
 import h11
@@ -16,6 +16,7 @@
 log = logging.getLogger(__name__)
 
 MOST_ANSWER = 65_536
+MOST_IDLE = 128  # connections: beyond this the one that has idled longest is closed
 IDLE_MARGIN = 0.1  # of the idle time of connections: so long before its end one is not used any more
 ENDS = {  # of a message in a batch: its outcome, and whether the message is over
     b"accepted": (Outcome.OK, True),
@@ -82,7 +83,7 @@
     return 0.0
 
 
-def single_outcome(response: h11.Response) -> tuple[Outcome, bool]:
+def head_outcome(response: h11.Response) -> tuple[Outcome, bool]:
     """What the head of an answer says of all messages in its call; the second is whether they are over."""
     match response.status_code:
         case 200:
@@ -140,6 +141,11 @@
         idle = self.idle.setdefault(endpoint, [])
         while idle and now - idle[0][1] >= self.keep_s:
             self.drop(endpoint, idle[0])
+        if sum(map(len, self.idle.values())) >= MOST_IDLE:
+            longest = min(
+                (name for name in self.idle if self.idle[name]), key=lambda name: self.idle[name][0][1]
+            )
+            self.drop(longest, self.idle[longest][0])
         idle.append((connection, now))
         self.loop.add_reader(connection.sock, self.drop, endpoint, idle[-1])
 
@@ -173,7 +179,7 @@
                 call.timers.append(self.loop.call_at(attempt.stop_at, self.stop_waiting, call, attempt))
         call.task = self.keep_task(self.run(call, attempts))
 
-    def keep_task(self, work) -> asyncio.Task[None]:
+    def keep_task(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = self.loop.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -267,7 +273,7 @@
             lane = self.places[call.endpoint].lane
             self.waits[lane] = max(self.waits.get(lane, 0.0), self.loop.time() + wait / 1000.0)
         if not batch or response.status_code != 200:
-            self.end_all(call, *single_outcome(response), wait)
+            self.end_all(call, *head_outcome(response), wait)
             await connection.body(MOST_ANSWER)
             return
         lines = (await connection.body(MOST_ANSWER)).split(b"\r\n")
@@ -288,7 +294,7 @@
             async with asyncio.timeout(self.settings.connect_timeout_ms / 1000.0):
                 connection = self.take(endpoint) or await self.connect(endpoint)
                 await connection.send("GET", "/alive", [])
-                outcome, _ = single_outcome(await connection.response())
+                outcome, _ = head_outcome(await connection.response())
                 await connection.body(MOST_ANSWER)
             if connection.next_cycle():
                 self.put(endpoint, connection)
@@ -301,12 +307,3 @@
             if connection is not None:
                 connection.close()
             report(endpoint, outcome, (self.loop.time() - started) * 1000.0)
-
-    async def settle(self) -> None:
-        """Wait until no call is out."""
-        while self.tasks:
-            await asyncio.wait(self.tasks)
-
-    def close(self, endpoints: Iterable[str] | None = None) -> None:
-        for endpoint in list(self.idle if endpoints is None else endpoints):
-            self.hang_up(endpoint)
--- a/rushhitch/journal.py
+++ b/rushhitch/journal.py
@@ -19,7 +19,7 @@
 
 COMPACT_SHARE = 1 / 3  # of the disk: a longer journal is written anew, with what is live only
 LIVE_SHARE = 1 / 4  # of the disk: what is live may take so much, so that old and new fit side by side
-RECORD_ROOM = 600  # bytes that a message's records take beyond its body, at most while it has few attempts
+RECORD_ROOM = 1_000  # bytes that a message's records take beyond its body, at most while it has few attempts
 
 
 @dataclass(slots=True)
@@ -59,7 +59,7 @@
         self.live_bytes = 0
         self.lines: list[bytes] = []
         self.fd, self.size = -1, 0
-        self.torn = False
+        self.broken = False  # a write failed: the file no longer tells all that is live
         self.replay()
         self.compact()
 
@@ -91,14 +91,15 @@
             return
         data = b"".join(self.lines)
         self.lines.clear()
-        if self.torn:
-            data = b"\n" + data
-        self.torn = True
+        if self.broken or self.size + len(data) > COMPACT_SHARE * self.disk_bytes:
+            self.broken = True
+            self.compact()
+            self.broken = False
+            return
+        self.broken = True
         self.write(self.fd, data)
-        self.torn = False
+        self.broken = False
         self.size += len(data)
-        if self.size > COMPACT_SHARE * self.disk_bytes:
-            self.compact()
 
     # Records
 
@@ -194,8 +195,12 @@
                 lines.append(self.line("owe", name, *kept.notice))
         data = b"".join(lines)
         fd = os.open(self.draft, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
-        self.write(fd, data)
-        os.replace(self.draft, self.path)
+        try:
+            self.write(fd, data)
+            os.replace(self.draft, self.path)
+        except OSError:
+            os.close(fd)
+            raise
         if self.fd >= 0:
             os.close(self.fd)
         self.fd, self.size = fd, len(data)
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -6,7 +6,7 @@
 import logging
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from crowpier import Dispatcher
@@ -30,6 +30,7 @@
 
     number: int
     kept: Kept
+    attempts: int
     answer: Answer | None = None
     over: bool = False
     out: set[int] = field(default_factory=set)
@@ -52,6 +53,7 @@
         self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
         self.kinds = {kind.name: position for position, kind in enumerate(settings.kinds)}
         self.zones = {zone: position for position, zone in enumerate(settings.zones)}
+        self.entries: dict[str, api.Entry] = {}
         self.destinations: set[int] = set()
         self.messages: dict[int, Message] = {}
         self.by_id: dict[bytes, Message] = {}
@@ -87,12 +89,16 @@
         self.note(api.Listed(kind, int(news.get("version", 0)), tuple(entries)))
 
     def entry(self, row: dict[str, Any]) -> api.Entry:
+        state, known = STATES[row["state"]], self.entries.get(row["id"])
+        if state is State.GONE and known is not None:  # nothing else of it need be told
+            self.endpoints.bar(known.endpoint)
+            return replace(known, state=state)
         entry = api.Entry(
             str(row["id"]),
             int(row["cell"]),
             self.kinds[row["kind"]],
             self.zones[row["zone"]],
-            STATES[row["state"]],
+            state,
             float(row.get("weight", 0.0)),
         )
         kind = self.settings.kinds[entry.kind]
@@ -101,6 +107,7 @@
             entry.endpoint, Place(parse_address(row["addr"]), lane, int(kind.batch), entry.state)
         )
         self.destinations.add(entry.destination)
+        self.entries[entry.endpoint] = entry
         return entry
 
     def offer(self, offer: Offer, answer: Answer) -> int:
@@ -109,8 +116,11 @@
             raise BadRequest(f"unknown class {offer.cls[:40]!r}")
         if offer.destination not in self.destinations:
             raise BadRequest(f"unknown destination {offer.destination}")
-        if offer.id in self.by_id:
-            raise BadRequest("a message with this id is held already")
+        if held := self.by_id.get(offer.id):
+            if held.answer is not None:
+                raise BadRequest("the id is that of a message which is being taken on")
+            answer(b"+OK\r\n")  # it is taken on already, once
+            return 0
         deadline = time.time() + offer.left_ms / 1000.0
         kept = Kept(offer.id, offer.cls, offer.destination, deadline, offer.body, offer.key, offer.again)
         if len(self.by_id) >= self.settings.max_held or not self.journal.has_room(len(offer.body)):
@@ -132,7 +142,7 @@
 
     def enter(self, kept: Kept, answer: Answer | None = None) -> Message:
         self.numbers += 1
-        message = Message(self.numbers, kept, answer)
+        message = Message(self.numbers, kept, kept.attempts, answer)
         self.messages[message.number] = self.by_id[kept.id] = message
         left = max(kept.deadline - time.time(), 0.0)
         message.watchdog = self.loop.call_later(left + OVERDUE_S, self.overdue, message)
@@ -227,7 +237,10 @@
                 self.note(api.Withdrawn(message.number))
         sends: dict[str, list[Attempt]] = {}
         for action in actions:
-            self.act(action, sends)
+            try:
+                self.act(action, sends)
+            except Exception:
+                log.exception("not carried out: %r", action)
         for message in fresh:
             if not message.over:
                 self.journal.take(message.kept)
@@ -236,10 +249,8 @@
             for attempt in attempts:
                 self.journal.attempt(attempt.id, attempt.number, endpoint, time.time())
         if not self.journal_flush():
-            for message in fresh:
-                if not message.over:
-                    self.answer_end(message, "bounced", BUSY_MS)
-                    self.note(api.Withdrawn(message.number))
+            self.undo(fresh, sends)
+            return
         for message in fresh:
             if not message.over and message.answer is not None:
                 message.answer(b"+OK\r\n")
@@ -247,15 +258,23 @@
         for endpoint, attempts in sends.items():
             self.endpoints.send(endpoint, attempts)
 
+    def undo(self, fresh: list[Message], sends: dict[str, list[Attempt]]) -> None:
+        """Guards against doing what the journal does not tell: nothing is taken on, nothing is sent."""
+        for message in fresh:
+            if not message.over:
+                self.answer_end(message, "bounced", BUSY_MS)
+                self.note(api.Withdrawn(message.number))
+        for endpoint, attempts in sends.items():
+            for attempt in attempts:
+                self.attempt_ended(Result(attempt, endpoint, Outcome.MOOT, 0.0))
+
     def act(self, action: api.Action, sends: dict[str, list[Attempt]]) -> None:
         match action:
             case api.Send(number, endpoint, stop_at_ms):
                 message = self.messages[number]
-                attempt = message.kept.attempts + sum(
-                    a.message == number for listed in sends.values() for a in listed
-                )
+                kept, attempt = message.kept, message.attempts
+                message.attempts += 1
                 message.out.add(attempt)
-                kept = message.kept
                 sends.setdefault(endpoint, []).append(
                     Attempt(number, attempt, kept.id, kept.body, stop_at_ms / 1000.0)
                 )
