--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -9,7 +9,7 @@
 import random
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -64,23 +64,40 @@
     state = Path(environ["ROUTER_STATE"])
     if not state.is_dir():
         raise BadConfiguration(f"ROUTER_STATE: {state} is not a folder")
-    try:
-        limits = told["limits"]
-        return Configuration(
-            environ.get("ROUTER_NAME") or str(told["name"]),
-            parse_address(environ.get("ROUTER_LISTEN") or told["listen"]),
-            parse_address(environ.get("ROUTER_DISCOVERY") or told["discovery"]),
-            state,
-            int(told["seed"], 16),
-            int(limits["sockets"]),
-            float(limits["disk_mb"]) * 1e6,
-            dict(told.get("known") or {"version": 0, "full": True, "servers": []}),
-            settings_of(json.dumps(told["settings"]).encode()),
-        )
-    except KeyError as error:
-        raise BadConfiguration(f"ROUTER_CONFIG: {path}: {error.args[0]} is missing") from None
-    except (ValueError, TypeError, AttributeError) as error:
-        raise BadConfiguration(f"ROUTER_CONFIG: {path}: {error}") from None
+
+    def get(read: Callable[[Any], Any], *keys: str, variable: str = "") -> Any:
+        value: Any = told
+        try:
+            for key in keys:
+                value = value[key]
+        except (KeyError, TypeError):
+            value = None
+        value = environ.get(variable) or value
+        if value is None:
+            raise BadConfiguration(f"ROUTER_CONFIG: {path}: {'.'.join(keys)} is missing")
+        try:
+            return read(value)
+        except (ValueError, TypeError, AttributeError, KeyError) as error:
+            raise BadConfiguration(f"ROUTER_CONFIG: {path}: {'.'.join(keys)}: {error}") from None
+
+    return Configuration(
+        get(str, "name", variable="ROUTER_NAME"),
+        get(parse_address, "listen", variable="ROUTER_LISTEN"),
+        get(parse_address, "discovery", variable="ROUTER_DISCOVERY"),
+        state,
+        get(lambda text: int(text, 16), "seed"),
+        get(int, "limits", "sockets"),
+        get(lambda megabytes: float(megabytes) * 1e6, "limits", "disk_mb"),
+        get(known_list, "known"),
+        get(lambda told: settings_of(json.dumps(told).encode()), "settings"),
+    )
+
+
+def known_list(told: Any) -> dict[str, Any]:
+    """The list as this dispatcher last had it, in discovery's form."""
+    if not isinstance(told, dict) or not isinstance(told.get("servers"), list):
+        raise ValueError("not a list in discovery's form")
+    return {"version": int(told.get("version", 0)), "full": True, "servers": told["servers"]}
 
 
 async def serve(configuration: Configuration) -> None:
@@ -101,14 +118,16 @@
     node.resume()
     watch = Watch(
         configuration.discovery,
-        int(configuration.known.get("version", 0)),
+        configuration.known["version"],
         node.listed,
         random.Random(configuration.seed),
     )
     background = [loop.create_task(watch.run()), loop.create_task(notices.run())]
     clients = Clients(node, max(configuration.sockets - OWN_FILES, 16))
     await clients.listen(configuration.listen)
-    log.info("%s is ready on %s:%d, %d messages resumed", configuration.name, *clients.address, len(node.by_id))
+    log.info(
+        "%s is ready on %s:%d, %d messages resumed", configuration.name, *clients.address, len(node.by_id)
+    )
     await stop.wait()
     leave_at = loop.time() + LEAVE_S
     log.info("%s is leaving, %d messages held", configuration.name, len(node.by_id))
--- /dev/null
+++ b/tests/doubles.py
@@ -0,0 +1,179 @@
+"""Stand-ins on loopback sockets for what the dispatcher talks to; each does only what a test tells it to."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import struct
+import sys
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from pathlib import Path
+
+from test_benchlink import TOLD
+
+ROOT = Path(__file__).parent.parent
+PATIENCE_S = 30.0  # generous: reached only where something is broken
+
+
+def run(work: Coroutine) -> None:
+    asyncio.run(asyncio.wait_for(work, PATIENCE_S))
+
+
+@dataclass
+class Request:
+    """A request that came in, and its connection."""
+
+    over: asyncio.Event
+    writer: asyncio.StreamWriter
+    connection: int
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    def answer(self, status: int, body: bytes = b"", **headers: str) -> None:
+        lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}"]
+        lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+        if status == 204:
+            del lines[1]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    def chunk(self, text: str) -> None:
+        data = text.encode() + b"\n"
+        self.writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def start_watch(self) -> None:
+        self.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+
+    def reset(self) -> None:
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+    async def ended(self) -> bool:
+        """Waits until the other side ends the connection."""
+        return await self.over.wait()
+
+
+class Peer:
+    """An HTTP server whose requests wait for the test."""
+
+    def __init__(self) -> None:
+        self.requests: asyncio.Queue[Request] = asyncio.Queue()
+        self.connections = 0
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> Peer:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = self.server.sockets[0].getsockname()
+        return self
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        connection, over = self.connections, asyncio.Event()
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+                method, target, _ = head[0].split(" ")
+                headers = dict(line.lower().split(": ", 1) for line in head[1:] if line)
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                request = Request(over, writer, connection, method, target, headers, body)
+                await self.requests.put(request)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            over.set()
+
+    async def next(self) -> Request:
+        return await self.requests.get()
+
+
+SAFE = {"name": "note", "effect": "repeatable", "aimMs": 1500.0, "hardLimitMs": 6000.0}
+UNSAFE = {"name": "pay", "effect": "once", "aimMs": 2000.0, "hardLimitMs": 24000.0}
+WORTH = {"lateWorth": 0.1, "value": 1.0}
+
+
+class Program:
+    """The real program in a process of its own, with one partner and the platform as doubles."""
+
+    def __init__(self, folder: Path, batch: int = 1) -> None:
+        self.folder, self.batch = folder, batch
+        (folder / "state").mkdir(exist_ok=True)
+        self.process: asyncio.subprocess.Process | None = None
+        self.log: list[str] = []
+
+    async def surroundings(self) -> Program:
+        self.partner, self.platform = await Peer().start(), await Peer().start()
+        return self
+
+    def config(self) -> dict:
+        settings = json.loads(json.dumps(TOLD))
+        settings["categories"] = [SAFE | WORTH, UNSAFE | WORTH]
+        settings["familyInfo"]["batchByKind"] = [self.batch]
+        host, port = self.partner.address
+        row = {"id": "e1", "addr": f"{host}:{port}", "zone": "a", "kind": "firms", "cell": 7}
+        row |= {"state": "SERVING", "weight": 1.0, "started_ms": 0}
+        return {
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "discovery": "{}:{}".format(*self.platform.address),
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+            "known": {"version": 41, "full": True, "servers": [row]},
+            "settings": settings,
+        }
+
+    async def start(self) -> None:
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(self.config()))
+        env = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
+        env |= {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(self.folder / "state")}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "rushhitch", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
+        )
+        line = await self.log_line(" is ready on ")
+        self.port = int(line.split(" is ready on ")[1].split(",")[0].split(":")[1])
+
+    async def log_line(self, part: str) -> str:
+        while line := (await self.process.stderr.readline()).decode():
+            self.log.append(line)
+            if part in line:
+                return line
+        raise AssertionError(f"the log ended without {part!r}: {self.log}")
+
+    async def kill(self) -> None:
+        self.process.kill()
+        await self.process.wait()
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def notice(self) -> dict:
+        """The next notice, which is answered; watches that come meanwhile stay silent."""
+        while True:
+            request = await self.platform.next()
+            if request.target == "/status":
+                request.answer(204)
+                return json.loads(request.body.splitlines()[0])
+
+
+class Client:
+    """A RESP2 client."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    def send(self, *words: bytes) -> None:
+        parts = [b"*%d\r\n" % len(words)] + [b"$%d\r\n%s\r\n" % (len(word), word) for word in words]
+        self.writer.write(b"".join(parts))
+
+    async def ask(self, *words: bytes) -> bytes:
+        self.send(*words)
+        return await self.line()
+
+    async def line(self) -> bytes:
+        return await self.reader.readline()
+
+    async def add(self, name: bytes, cls: str = "note", left_ms: int = 6000, body: bytes = b"hello") -> bytes:
+        return await self.ask(b"OUT.ADD", b"0" * 16, name, f"c={cls},d={left_ms},dest=7".encode(), body)
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,132 @@
+"""The watch and the notices over loopback."""
+
+import asyncio
+import json
+import random
+
+from doubles import Peer, run
+
+from rushhitch import discovery
+from rushhitch.discovery import Notices, Watch
+
+
+def with_watch(silence_s=30.0):
+    def decorate(test):
+        async def work():
+            platform, told = await Peer().start(), asyncio.Queue()
+            watch = Watch(platform.address, 41, told.put_nowait, random.Random(1), silence_s)
+            task = asyncio.create_task(watch.run())
+            await test(platform, told)
+            task.cancel()
+
+        run(work())
+
+    return decorate
+
+
+def news(version):
+    return {"version": version, "full": False, "servers": []}
+
+
+def test_a_watch_hands_on_what_changes():
+    @with_watch()
+    async def _(platform, told):
+        request = await platform.next()
+        assert request.target == "/discovery/hosts?watch=1&from=41"
+        request.start_watch()
+        request.chunk("")
+        text = json.dumps(news(42))
+        request.writer.write(b"%x\r\n%s\r\n" % (len(text[:10]), text[:10].encode()))  # a line in two chunks
+        request.chunk(text[10:])
+        assert await told.get() == news(42)
+
+
+def test_a_silent_watch_is_dead_and_is_opened_again_from_the_last_version():
+    # Guards against a machine that vanished: its connection stays open and says nothing.
+    @with_watch(silence_s=0.3)
+    async def _(platform, told):
+        request = await platform.next()
+        request.start_watch()
+        request.chunk(json.dumps(news(50)))
+        assert await told.get() == news(50)
+        assert (await platform.next()).target.endswith("from=50")
+        assert await request.ended()
+
+
+def test_a_watch_that_fails_or_ends_or_talks_nonsense_is_opened_again():
+    @with_watch()
+    async def _(platform, told):
+        (await platform.next()).answer(503)
+        (await platform.next()).reset()
+        ended = await platform.next()
+        ended.start_watch()
+        ended.writer.write(b"0\r\n\r\n")
+        broken = await platform.next()
+        broken.start_watch()
+        broken.chunk("{")
+        nameless = await platform.next()
+        nameless.start_watch()
+        nameless.chunk('{"servers":[]}')
+        request = await platform.next()
+        request.start_watch()
+        request.chunk(json.dumps(news(44)))
+        assert await told.get() == news(44)
+
+
+def with_notices(test):
+    async def work():
+        platform, heard = await Peer().start(), asyncio.Queue()
+        notices = Notices(platform.address, heard.put_nowait)
+        task = asyncio.create_task(notices.run())
+        await test(platform, notices, heard)
+        task.cancel()
+
+    run(work())
+
+
+def test_a_notice_is_told_until_its_204(monkeypatch):
+    # Guards against an end that nobody hears: reset, silence and 503 are no answer.
+    monkeypatch.setattr(discovery, "NOTICE_S", 0.5)
+
+    @with_notices
+    async def _(platform, notices, heard):
+        notices.add(b"m1", "bounced", 500.0)
+        (await platform.next()).reset()
+        silent = await platform.next()
+        again = await platform.next()
+        assert await silent.ended()
+        again.answer(503)
+        last = await platform.next()
+        assert heard.empty()
+        assert json.loads(last.body) == {"ref": "m1", "result": "bounced", "wait_ms": 500}
+        last.answer(204)
+        assert await heard.get() == b"m1"
+        await notices.empty.wait()
+
+
+def test_notices_that_are_due_together_go_together():
+    @with_notices
+    async def _(platform, notices, heard):
+        notices.add(b"m1", "dead", 0.0)
+        notices.add(b"m2", "bounced", 0.0)
+        request = await platform.next()
+        assert (request.method, request.target) == ("POST", "/status")
+        assert [json.loads(line) for line in request.body.splitlines()] == [
+            {"ref": "m1", "result": "dead"},
+            {"ref": "m2", "result": "bounced"},
+        ]
+        request.answer(204)
+        assert [await heard.get(), await heard.get()] == [b"m1", b"m2"]
+
+
+def test_one_notice_that_cannot_be_read_does_not_hold_up_the_others():
+    @with_notices
+    async def _(platform, notices, heard):
+        notices.add(b"bad", "dead", 0.0)
+        notices.add(b"m2", "dead", 0.0)
+        (await platform.next()).answer(400)
+        (await platform.next()).answer(400)  # the bad one alone
+        request = await platform.next()
+        assert json.loads(request.body)["ref"] == "m2"
+        request.answer(204)
+        assert await heard.get() == b"m2"
--- /dev/null
+++ b/tests/test_endpoints.py
@@ -0,0 +1,331 @@
+"""Calls to an endpoint over loopback: every way in which one can end, the pool, batches and waits."""
+
+import asyncio
+import socket
+
+import pytest
+from bed import settings
+from doubles import Peer, run
+
+from crowpier.interface import Outcome, State
+from rushhitch.endpoints import Attempt, Endpoints, Place
+
+
+class Caller:
+    """`Endpoints` with one endpoint, a partner that the test plays, and the results as they come."""
+
+    async def start(self, batch=1, **changes):
+        self.partner = await Peer().start()
+        self.results = asyncio.Queue()
+        self.endpoints = Endpoints(settings(**changes), self.results.put_nowait)
+        self.batch = batch
+        self.list(self.partner.address)
+        return self
+
+    def list(self, address, state=State.READY):
+        self.endpoints.place("e1", Place(address, 7, self.batch, state))
+
+    def send(self, *messages, body=b"hello", patience=30.0):
+        stop_at = asyncio.get_running_loop().time() + patience
+        self.endpoints.send("e1", [Attempt(m, 0, b"m%d" % m, body, stop_at) for m in messages])
+
+    async def result(self):
+        result = await self.results.get()
+        return result.outcome, result.over, result.wait_ms
+
+
+def with_caller(**changes):
+    def decorate(test):
+        async def work():
+            await test(await Caller().start(**changes))
+
+        run(work())
+
+    return decorate
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "end"),
+    [
+        (200, {}, (Outcome.OK, True, 0.0)),
+        (500, {}, (Outcome.ERROR, False, 0.0)),
+        (429, {"X_Come_Back_Ms": "350"}, (Outcome.FULL, False, 350.0)),
+        (429, {"X_Come_Back_Ms": "soon"}, (Outcome.FULL, False, 0.0)),
+        (429, {"X_Come_Back_Ms": "nan"}, (Outcome.FULL, False, 0.0)),
+        (503, {}, (Outcome.FULL, False, 0.0)),
+        (503, {"X_Line_Busy": "1"}, (Outcome.MOOT, False, 0.0)),
+        (504, {}, (Outcome.MOOT, False, 0.0)),
+        (410, {}, (Outcome.MOOT, True, 0.0)),
+        (418, {}, (Outcome.ERROR, False, 0.0)),
+    ],
+)
+def test_each_answer_has_its_outcome(status, headers, end):
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        (await caller.partner.next()).answer(status, **headers)
+        assert await caller.result() == end
+
+
+def test_a_refused_connection_proves_that_nothing_ran():
+    @with_caller()
+    async def _(caller):
+        with socket.socket() as closed:  # bound, but nobody listens there
+            closed.bind(("127.0.0.1", 0))
+            caller.list(closed.getsockname())
+            caller.send(1)
+            assert await caller.result() == (Outcome.CONNECT_FAILED, False, 0.0)
+
+
+def test_a_break_before_the_last_byte_is_written_proves_that_nothing_ran():
+    # Guards against taking a request that was cut off for one that may have run: an unsafe one would be lost.
+    async def cut_off(reader, writer):
+        await reader.read(100)
+        writer.transport.abort()
+
+    @with_caller()
+    async def _(caller):
+        server = await asyncio.start_server(cut_off, "127.0.0.1", 0, limit=1024)
+        caller.list(server.sockets[0].getsockname())
+        caller.send(1, body=bytes(50_000_000))  # more than the sockets' buffers hold
+        assert await caller.result() == (Outcome.CONNECT_FAILED, False, 0.0)
+
+
+def test_a_break_after_the_last_byte_may_have_run():
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        (await caller.partner.next()).reset()
+        assert await caller.result() == (Outcome.RESET, False, 0.0)
+
+
+def test_an_end_in_place_of_an_answer_may_have_run():
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        (await caller.partner.next()).writer.close()
+        assert await caller.result() == (Outcome.RESET, False, 0.0)
+
+
+def test_an_answer_that_is_not_http_may_have_run():
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        (await caller.partner.next()).writer.write(b"\x00\x01 nonsense\r\n\r\n")
+        assert await caller.result() == (Outcome.RESET, False, 0.0)
+
+
+def test_a_delivery_counts_from_its_first_line_on():
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        request = await caller.partner.next()
+        request.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+        assert await caller.result() == (Outcome.OK, True, 0.0)
+        request.reset()
+
+
+def test_at_its_time_a_call_is_given_up_by_closing_its_connection():
+    @with_caller()
+    async def _(caller):
+        caller.send(1, patience=0.3)
+        request = await caller.partner.next()
+        assert await caller.result() == (Outcome.TIMEOUT, False, 0.0)
+        assert await request.ended()
+
+
+def test_a_call_that_is_called_off_closes_its_connection():
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        request = await caller.partner.next()
+        caller.endpoints.cancel(1, 0)
+        assert await caller.result() == (Outcome.CANCELLED, False, 0.0)
+        assert await request.ended()
+
+
+def test_a_connection_that_its_other_side_has_ended_is_not_written_to():
+    # Guards against a stale connection: what is written to it ends as a reset, and an unsafe message is lost.
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        request = await caller.partner.next()
+        request.answer(200)
+        await caller.result()
+        request.writer.close()
+        await request.writer.wait_closed()
+        caller.send(2)
+        again = await caller.partner.next()
+        assert again.connection == 2
+        again.answer(200)
+        assert await caller.result() == (Outcome.OK, True, 0.0)
+
+
+def test_a_connection_with_stray_bytes_on_it_is_not_written_to():
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        request = await caller.partner.next()
+        request.answer(200)
+        request.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")  # nobody asked for it
+        await caller.result()
+        caller.send(2)
+        again = await caller.partner.next()
+        assert again.connection == 2
+        again.answer(429)
+        assert await caller.result() == (Outcome.FULL, False, 0.0)
+
+
+def test_a_connection_that_has_idled_for_nearly_its_time_is_not_written_to():
+    @with_caller(conn_idle_ms=0.0)
+    async def _(caller):
+        for number in (1, 2):
+            caller.send(number)
+            request = await caller.partner.next()
+            assert request.connection == number
+            request.answer(200)
+            await caller.result()
+
+
+def test_the_connection_used_last_is_reused_first():
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        caller.send(2)
+        requests = [await caller.partner.next(), await caller.partner.next()]
+        for request in requests:
+            request.answer(200)
+            await caller.result()
+        while sum(map(len, caller.endpoints.idle.values())) < 2:
+            await asyncio.sleep(0)
+        caller.send(3)
+        assert (await caller.partner.next()).connection == requests[1].connection
+
+
+def test_an_endpoint_that_moves_is_called_at_its_new_address_only():
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        request = await caller.partner.next()
+        request.answer(200)
+        await caller.result()
+        other = await Peer().start()
+        caller.list(other.address)
+        assert await request.ended()
+        caller.send(2)
+        (await other.next()).answer(200)
+        assert await caller.result() == (Outcome.OK, True, 0.0)
+
+
+def test_the_messages_of_a_batch_end_each_in_their_own_way_and_a_wait_binds():
+    @with_caller(batch=20)
+    async def _(caller):
+        caller.send(*range(1, 7))
+        request = await caller.partner.next()
+        assert request.target == "/receive-many" and caller.partner.requests.empty()
+        told = [b"m1 accepted", b"m2 fault", b"m3 deferred", b"m4 expired", b"m5 no_more", b""]
+        request.answer(200, b"\r\n".join(told), X_Come_Back_Ms="400")
+        assert [await caller.result() for _ in range(6)] == [
+            (Outcome.OK, True, 400.0),
+            (Outcome.ERROR, False, 400.0),
+            (Outcome.FULL, False, 400.0),
+            (Outcome.MOOT, True, 400.0),
+            (Outcome.MOOT, False, 400.0),
+            (Outcome.ERROR, False, 400.0),  # left out: it may have run
+        ]
+
+
+@pytest.mark.parametrize(("status", "outcome"), [(429, Outcome.FULL), (500, Outcome.ERROR)])
+def test_a_batch_may_fare_alike(status, outcome):
+    @with_caller(batch=20)
+    async def _(caller):
+        caller.send(1, 2)
+        (await caller.partner.next()).answer(status)
+        assert [await caller.result(), await caller.result()] == [(outcome, False, 0.0)] * 2
+
+
+def test_a_batch_holds_no_more_than_its_kind_takes():
+    @with_caller(batch=2)
+    async def _(caller):
+        caller.send(1, 2, 3)
+        targets = sorted([(await caller.partner.next()).target, (await caller.partner.next()).target])
+        assert targets == ["/receive", "/receive-many"]
+
+
+def test_one_message_of_a_batch_may_time_out_while_the_others_wait_on():
+    @with_caller(batch=20, second_copies=True)
+    async def _(caller):
+        now = asyncio.get_running_loop().time()
+        soon, late = (Attempt(n, 0, b"m%d" % n, b"", now + s) for n, s in ((1, 0.2), (2, 30.0)))
+        caller.endpoints.send("e1", [soon, late])
+        request = await caller.partner.next()
+        assert await caller.result() == (Outcome.TIMEOUT, False, 0.0)
+        request.answer(200, b"m1 accepted\r\nm2 accepted\r\n")
+        assert await caller.result() == (Outcome.OK, True, 0.0)
+        assert caller.results.empty()
+
+
+def test_where_copies_are_forbidden_a_batch_ends_with_the_first_time_that_is_up():
+    # Guards against a message that is tried again while its batch is still out on an open connection.
+    @with_caller(batch=20, second_copies=False)
+    async def _(caller):
+        now = asyncio.get_running_loop().time()
+        caller.endpoints.send(
+            "e1", [Attempt(n, 0, b"m%d" % n, b"", now + s) for n, s in ((1, 0.2), (2, 30.0))]
+        )
+        request = await caller.partner.next()
+        assert [await caller.result(), await caller.result()] == [(Outcome.TIMEOUT, False, 0.0)] * 2
+        assert await request.ended()
+
+
+@pytest.mark.parametrize("bar", ["wait", "drain"])
+def test_a_call_whose_connection_comes_up_after_a_told_wait_or_a_drain_is_not_sent(bar):
+    # Guards against a send that was decided while the way was open but leaves when it is barred.
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        first = await caller.partner.next()
+        reached, go_on = asyncio.Event(), asyncio.Event()
+        connect = caller.endpoints.connect
+
+        async def slow_connect(endpoint):
+            reached.set()
+            await go_on.wait()
+            return await connect(endpoint)
+
+        caller.endpoints.connect = slow_connect
+        caller.send(2)
+        await reached.wait()
+        if bar == "wait":
+            first.answer(429, X_Come_Back_Ms="20000")
+            assert await caller.result() == (Outcome.FULL, False, 20_000.0)
+        else:
+            caller.list(caller.partner.address, State.DRAINING)
+        go_on.set()
+        assert await caller.result() == (Outcome.MOOT, False, 0.0)
+        assert caller.partner.requests.empty()
+
+
+def test_whatever_goes_wrong_in_a_call_its_message_gets_an_end(caplog):
+    @with_caller()
+    async def _(caller):
+        async def broken(*_):
+            raise RuntimeError("a fault of our own")
+
+        caller.endpoints.request = broken
+        caller.send(1)
+        assert await caller.result() == (Outcome.CONNECT_FAILED, False, 0.0)
+
+    assert "a fault of our own" in caplog.text and "Traceback" in caplog.text
+
+
+@pytest.mark.parametrize(("status", "outcome"), [(200, Outcome.OK), (503, Outcome.FULL)])
+def test_a_probe_asks_whether_the_endpoint_is_alive(status, outcome):
+    @with_caller()
+    async def _(caller):
+        results = asyncio.Queue()
+        caller.endpoints.probe("e1", lambda *result: results.put_nowait(result))
+        request = await caller.partner.next()
+        assert (request.method, request.target) == ("GET", "/alive")
+        request.answer(status)
+        assert (await results.get())[:2] == ("e1", outcome)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,250 @@
+"""The whole program in a process of its own: what it takes on outlasts it."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+from doubles import ROOT, Program, run
+
+
+def with_program(tmp_path, batch=1):
+    """Runs a test's coroutine with a started program, and ends that whatever happens."""
+
+    def decorate(test):
+        async def work():
+            program = await Program(tmp_path, batch).surroundings()
+            await program.start()
+            try:
+                await test(program)
+            finally:
+                if program.process.returncode is None:
+                    await program.kill()
+
+        run(work())
+
+    return decorate
+
+
+def test_a_message_is_delivered_with_its_id_and_body_unchanged(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        assert await client.ask(b"PING") == b"+PONG\r\n"
+        assert await client.add(b"m1", body=b"\x00\r\n\xff$5") == b"+OK\r\n"
+        request = await program.partner.next()
+        assert (request.method, request.target) == ("POST", "/receive")
+        assert request.headers["x-correlation-id"] == "m1" and request.body == b"\x00\r\n\xff$5"
+        assert 1 <= int(request.headers["x-time-left-ms"]) <= 6000
+        request.answer(200)
+        await client.add(b"m2")
+        again = await program.partner.next()
+        assert again.connection == request.connection, "the connection was not kept"
+
+
+def test_an_unsafe_message_that_was_out_at_sigkill_fails_at_once_and_is_not_sent_again(tmp_path):
+    # Guards against an attempt that is recorded only after its first byte: it would look unsent.
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        assert await client.add(b"m1", "pay", 24000) == b"+OK\r\n"
+        await program.partner.next()
+        await program.kill()
+        await program.start()
+        assert await program.notice() == {"ref": "m1", "result": "dead"}
+        assert program.partner.requests.empty()
+
+
+def test_a_safe_message_that_was_out_at_sigkill_is_sent_again(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        assert await client.add(b"m1", body=b"the body") == b"+OK\r\n"
+        await program.partner.next()
+        await program.kill()
+        await program.start()
+        again = await program.partner.next()
+        assert again.headers["x-correlation-id"] == "m1" and again.body == b"the body"
+        assert int(again.headers["x-time-left-ms"]) < 6000
+        again.answer(200)
+
+
+def test_an_unsafe_message_proven_unsent_goes_on_after_sigkill(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        assert await client.add(b"m1", "pay", 24000) == b"+OK\r\n"
+        (await program.partner.next()).answer(429, X_Come_Back_Ms="600")
+        while '"got"' not in (program.folder / "state" / "journal").read_text():
+            await asyncio.sleep(0.01)
+        await program.kill()
+        await program.start()
+        again = await program.partner.next()
+        assert again.headers["x-correlation-id"] == "m1"
+        again.answer(200)
+
+
+def test_a_delivered_message_is_not_sent_again_after_sigkill(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        await client.add(b"m1")
+        (await program.partner.next()).answer(200)
+        while '"end"' not in (program.folder / "state" / "journal").read_text():
+            await asyncio.sleep(0.01)
+        await program.kill()
+        await program.start()
+        assert "0 messages resumed" in program.log[-1]
+
+
+def test_a_notice_that_was_not_acknowledged_is_sent_again_after_a_restart(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        await client.add(b"m1", "pay", 24000)
+        (await program.partner.next()).answer(500)
+        while (request := await program.platform.next()).target != "/status":
+            pass
+        assert json.loads(request.body)["ref"] == "m1"  # and no 204
+        await program.kill()
+        await program.start()
+        assert await program.notice() == {"ref": "m1", "result": "dead"}
+
+
+def test_a_torn_last_record_does_not_keep_the_rest_from_being_replayed(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        await client.add(b"m1", "pay", 24000)
+        await program.partner.next()
+        await program.kill()
+        with (program.folder / "state" / "journal").open("ab") as journal:
+            journal.write(b'12345678 ["end","m')
+        await program.start()
+        assert await program.notice() == {"ref": "m1", "result": "dead"}
+
+
+def test_sigterm_goes_on_accepting_then_delivers_what_is_out_and_ends_in_time(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        early = await program.client()
+        assert await early.ask(b"PING") == b"+PONG\r\n"
+        program.process.send_signal(signal.SIGTERM)
+        await program.log_line("is leaving")
+        since = asyncio.get_running_loop().time()
+        late = await program.client()  # connections go on coming for a while
+        assert await late.add(b"m1", "pay", 24000) == b"+OK\r\n"
+        request = await program.partner.next()
+        assert await early.line() == b"" and await late.line() == b""  # closed between requests
+        assert asyncio.get_running_loop().time() - since >= 0.5
+        with pytest.raises(ConnectionRefusedError):
+            await program.client()
+        request.answer(200)
+        assert await program.process.wait() == 0
+        assert asyncio.get_running_loop().time() - since < 3.5
+        assert not (program.folder / "state" / "journal").read_text().count('"owe"')
+
+
+def test_sigterm_starts_no_unsafe_call_that_cannot_end_and_the_journal_keeps_it(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        program.process.send_signal(signal.SIGTERM)
+        await program.log_line("is leaving")
+        since = asyncio.get_running_loop().time()
+        await client.add(b"m1", "pay", 24000)
+        request = await program.partner.next()
+        request.answer(429, X_Come_Back_Ms="2500")  # after that it could not end in time
+        assert await program.process.wait() == 0
+        assert asyncio.get_running_loop().time() - since < 3.5
+        assert program.partner.requests.empty()
+        await program.start()
+        again = await program.partner.next()
+        assert again.headers["x-correlation-id"] == "m1"
+        again.answer(200)
+
+
+def test_a_batch_travels_as_one_call_and_each_message_gets_its_own_end(tmp_path):
+    @with_program(tmp_path, batch=20)
+    async def _(program):
+        client = await program.client()
+        for name in (b"m1", b"m2", b"m3"):
+            client.send(b"OUT.ADD", b"0", name, b"c=pay,d=24000,dest=7", b"body of " + name)
+        assert [await client.line() for _ in range(3)] == [b"+OK\r\n"] * 3
+        request = await program.partner.next()
+        assert request.target == "/receive-many"
+        assert request.body == b"".join(b"m%d - 10\r\nbody of m%d\r\n" % (n, n) for n in (1, 2, 3))
+        request.answer(200, b"m1 accepted\r\nm2 fault\r\nm3 deferred\r\n")
+        assert await program.notice() == {"ref": "m2", "result": "dead"}
+        again = await program.partner.next()
+        assert again.headers["x-correlation-id"] == "m3"
+        again.answer(200)
+
+
+def test_a_told_wait_holds_off_every_message_to_that_partner(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        loop = asyncio.get_running_loop()
+        await client.add(b"m1")
+        told = loop.time()
+        (await program.partner.next()).answer(429, X_Come_Back_Ms="700")
+        await client.add(b"m2")
+        names = set()
+        for _ in range(2):
+            request = await program.partner.next()
+            assert loop.time() - told >= 0.7
+            names.add(request.headers["x-correlation-id"])
+            request.answer(200)
+        assert names == {"m1", "m2"}
+
+
+def test_bad_requests_get_a_plain_error_and_cost_nothing_else(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        assert await client.ask(b"OUT.ADD", b"0", b"m1", b"c=gift,d=10,dest=7", b"") == (
+            b"-ERR unknown class 'gift'\r\n"
+        )
+        assert await client.ask(b"OUT.ADD", b"0", b"m1", b"c=note,d=10,dest=8", b"") == (
+            b"-ERR unknown destination 8\r\n"
+        )
+        assert await client.add(b"m1") == b"+OK\r\n"
+
+
+def start_with(environ):
+    return subprocess.run(
+        [sys.executable, "-m", "rushhitch"], cwd=ROOT, env=environ, capture_output=True, text=True, timeout=60
+    )
+
+
+@pytest.mark.parametrize(
+    ("spoil", "says"),
+    [
+        (lambda told: told.pop("settings"), "settings is missing"),
+        (lambda told: told["settings"].pop("zones"), "settings: settings: zones is missing"),
+        (lambda told: told["limits"].pop("disk_mb"), "limits.disk_mb is missing"),
+        (lambda told: told.update(listen="nowhere"), "not an address"),
+        (lambda told: told.update(seed="x"), "seed: invalid literal"),
+        (lambda told: told.update(known=[1]), "known"),
+    ],
+)
+def test_a_bad_configuration_ends_the_start_with_one_line(tmp_path, spoil, says):
+    async def work():
+        return (await Program(tmp_path).surroundings()).config()
+
+    told = asyncio.run(work())
+    spoil(told)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+    done = start_with(os.environ | {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(tmp_path)})
+    assert done.returncode == 2 and says in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_missing_variables_are_named():
+    environ = {name: value for name, value in os.environ.items() if not name.startswith("ROUTER_")}
+    done = start_with(environ)
+    assert (done.returncode, done.stderr) == (2, "rushhitch: ROUTER_CONFIG is not set\n")
