--- a/crowpier/benchlink.py
+++ b/crowpier/benchlink.py
@@ -210,7 +210,8 @@
             self.fault(instance, error)
             return
         for action in actions:
-            self.out.append(self.encode(instance, action))
+            if not isinstance(action, api.Remember):  # what dies here leaves nothing behind
+                self.out.append(self.encode(instance, action))
 
     def fault(self, instance: int, error: Exception) -> None:
         text = f"{type(error).__name__}: {error}".encode()[:500]
--- a/crowpier/interface.py
+++ b/crowpier/interface.py
@@ -212,6 +212,14 @@
     ran_endpoint: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Remembered:
+    """At the start: an earlier process gave `Remember` for the endpoint, and nothing has taken it back."""
+
+    endpoint: str
+    pace_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Leaving:
     """The process will end `in_ms` from now: what is out by then has no known outcome."""
@@ -255,7 +263,7 @@
     message: int
 
 
-Event = Listed | Arrived | AttemptEnded | ProbeEnded | Reminded | Withdrawn | Leaving
+Event = Listed | Arrived | AttemptEnded | ProbeEnded | Reminded | Withdrawn | Remembered | Leaving
 
 
 # Actions
@@ -320,6 +328,15 @@
     """Ask for the list and its changes."""
 
 
+@dataclass(frozen=True, slots=True)
+class Remember:
+    """Keep beyond the process: the endpoint is `cold`, having taken such a pace before, or no longer is."""
+
+    endpoint: str
+    cold: bool
+    pace_per_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Log:
     """A line for on-call staff."""
@@ -327,4 +344,4 @@
     text: str = field(default="")
 
 
-Action = Send | Cancel | Fail | Refuse | Probe | HangUp | Remind | Subscribe | Log
+Action = Send | Cancel | Fail | Refuse | Probe | HangUp | Remind | Subscribe | Remember | Log
--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -141,6 +141,7 @@
         self.strikes, self.struck_at = 0, -math.inf
         self.warm, self.warm_at = 1.0, 0.0
         self.tripped, self.opens_at, self.answered_at = False, -math.inf, -math.inf
+        self.cold = False  # from its trip until it is warm again
 
     def score_at(self, now: float) -> float:
         return PRIOR + (self.score - PRIOR) * math.exp((self.scored_at - now) / SCORE_AGE_MS)
@@ -251,6 +252,8 @@
             self.close(self.messages[event.message])
         elif isinstance(event, api.Reminded):
             self.wakes_at = math.inf  # a clock that rounds may wake us a trifle early
+        elif isinstance(event, api.Remembered) and event.endpoint in self.endpoints:
+            self.remembered(self.endpoints[event.endpoint], event.pace_per_s)
         elif isinstance(event, api.Leaving):
             self.leaves_at = self.now + event.in_ms
 
@@ -498,9 +501,18 @@
     def trip(self, endpoint: Endpoint, sent_at: float) -> None:
         if endpoint.tripped and sent_at < endpoint.opens_at:
             return
+        if not endpoint.cold:
+            endpoint.cold = True
+            self.actions.append(api.Remember(endpoint.name, True, endpoint.lane.part()))
         endpoint.tripped, endpoint.warm = True, self.settings.cold_from
         endpoint.opens_at = self.now + self.cold_gap(endpoint) * self.random.uniform(*JITTER)
 
+    def remembered(self, endpoint: Endpoint, pace: float) -> None:
+        """Guards against a restart in mid-outage: what was cold before it is tried as if none had been."""
+        endpoint.lane.taken.count, endpoint.lane.taken.at = pace * PART_MS / 1000.0, self.now
+        endpoint.cold = endpoint.tripped = True
+        endpoint.warm, endpoint.opens_at = self.settings.cold_from, self.now
+
     def recovered(self, endpoint: Endpoint) -> None:
         if endpoint.tripped:
             endpoint.tripped, endpoint.strikes, endpoint.score = False, 0, max(endpoint.score, PRIOR)
@@ -514,7 +526,8 @@
         grown = (1.0 - self.settings.cold_from) * (self.now - endpoint.warm_at)
         warm = min(endpoint.warm + grown / max(self.settings.warm_within_ms, 1.0), 1.0)
         if warm == 1.0:
-            endpoint.warm = 1.0
+            endpoint.warm, endpoint.cold = 1.0, False
+            self.actions.append(api.Remember(endpoint.name, False))
         return warm
 
     def cold_gap(self, endpoint: Endpoint) -> float:
--- a/rushhitch/clients.py
+++ b/rushhitch/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -163,9 +164,13 @@
         self.reply(slot, error_line(text))
 
     def finish(self) -> None:
-        """Close between requests: at once if none is under way."""
+        """Close between requests: at once if none is under way, nor waits to be read."""
         self.finishing = True
-        self.close_between()
+        if self.transport is not None and not self.transport.is_closing():
+            poll = select.poll()
+            poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+            if not poll.poll(0):
+                self.close_between()
 
     def close_between(self) -> None:
         if not self.slots and not self.partial and self.transport is not None:
--- a/rushhitch/discovery.py
+++ b/rushhitch/discovery.py
@@ -18,8 +18,8 @@
 SILENCE_S = 5.0  # a watch says something every 2 s: after so long it is dead
 CONNECT_S, ANSWER_S = 1.0, 3.0
 BACKOFF_S, BACKOFF_TOP_S = 0.2, 2.0  # between two watches: doubled each time, and stretched by chance
-NOTICE_S = 0.25  # notices are answered at once: after so long they are sent again on another connection
-NOTICE_REST_S = 0.05
+NOTICE_S, NOTICE_TOP_S = 0.25, 2.0  # notices are answered at once: after so long they are sent again on
+NOTICE_REST_S = 0.05  # another connection, with more patience each time
 MOST_LINE = 4_000_000
 MOST_NOTICES = 100  # in one request
 BROKEN = (OSError, TimeoutError, h11.ProtocolError, ValueError)
@@ -109,14 +109,14 @@
         self.wake.set()
 
     async def run(self) -> None:
-        most = MOST_NOTICES
+        most, patience = MOST_NOTICES, NOTICE_S
         while True:
             await self.wake.wait()
             self.wake.clear()
             while self.due:
                 try:
-                    await self.post(list(self.due)[:most])
-                    most = MOST_NOTICES
+                    await self.post(list(self.due)[:most], patience)
+                    most, patience = MOST_NOTICES, NOTICE_S
                     continue
                 except Unreadable as error:
                     # Guards against one bad notice that keeps all others from being told.
@@ -124,6 +124,7 @@
                         log.error("a notice is given up: %s: %r", error, self.due.pop(next(iter(self.due))))
                     most = 1
                 except BROKEN as error:
+                    patience = min(2.0 * patience, NOTICE_TOP_S)
                     log.info("notices are sent again: %r", error)
                 except Exception:
                     log.exception("notices failed")
@@ -131,9 +132,9 @@
                 await asyncio.sleep(NOTICE_REST_S)
             self.empty.set()
 
-    async def post(self, messages: list[bytes]) -> None:
+    async def post(self, messages: list[bytes], patience: float) -> None:
         body = b"".join(json.dumps(self.due[message]).encode() + b"\n" for message in messages)
-        async with asyncio.timeout(NOTICE_S):
+        async with asyncio.timeout(patience):
             if self.connection is not None and not self.connection.quiet():
                 self.drop_connection()
             if self.connection is None:
--- a/rushhitch/journal.py
+++ b/rushhitch/journal.py
@@ -56,6 +56,7 @@
         self.path, self.draft = folder / "journal", folder / "journal.new"
         self.disk_bytes = disk_bytes
         self.live: dict[bytes, Kept] = {}
+        self.cold: dict[str, float] = {}  # endpoints in or after an outage, and the pace they took before
         self.live_bytes = 0
         self.lines: list[bytes] = []
         self.fd, self.size = -1, 0
@@ -82,6 +83,13 @@
         """Nothing more is owed."""
         self.note("end", message.decode("latin-1"))
 
+    def chill(self, endpoint: str, pace_per_s: float) -> None:
+        """The decisions take the endpoint to be cold."""
+        self.note("cold", endpoint, pace_per_s)
+
+    def warm(self, endpoint: str) -> None:
+        self.note("warm", endpoint)
+
     def has_room(self, body: int) -> bool:
         return self.live_bytes + RECORD_ROOM + body * 4 // 3 <= LIVE_SHARE * self.disk_bytes
 
@@ -132,9 +140,15 @@
         self.lines.append(self.line(*record))
         self.apply(*record)
 
-    def apply(self, what: str, message: str, *rest: Any) -> None:
+    def apply(self, what: str, subject: str, *rest: Any) -> None:
         """Follow one record, new or replayed."""
-        name = message.encode("latin-1")
+        if what == "cold":
+            self.cold[subject] = float(rest[0])
+            return
+        if what == "warm":
+            self.cold.pop(subject, None)
+            return
+        name = subject.encode("latin-1")
         if what == "take":
             cls, destination, deadline, key, again, body = rest
             kept = Kept(name, cls, destination, deadline, base64.b64decode(body), key, again)
@@ -184,7 +198,7 @@
 
     def compact(self) -> None:
         """Write what is live into a new file and put that in the place of the old one."""
-        lines = []
+        lines = [self.line("cold", endpoint, pace) for endpoint, pace in self.cold.items()]
         for kept in self.live.values():
             name = kept.id.decode("latin-1")
             lines.append(self.line("take", *self.taken(kept)))
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -168,6 +168,8 @@
     def resume(self) -> None:
         """Take up what an earlier process left in the journal: its time and its attempts go on."""
         now = time.time()
+        for endpoint, pace_per_s in self.journal.cold.items():
+            self.note(api.Remembered(endpoint, pace_per_s))
         for kept in list(self.journal.live.values()):
             if kept.notice is not None:
                 self.notify(kept.id, *kept.notice)
@@ -290,6 +292,10 @@
                 self.endpoints.probe(endpoint, self.probe_ended)
             case api.HangUp(endpoint):
                 self.endpoints.hang_up(endpoint)
+            case api.Remember(endpoint, True, pace_per_s):
+                self.journal.chill(endpoint, pace_per_s)
+            case api.Remember(endpoint, False):
+                self.journal.warm(endpoint)
             case api.Subscribe():
                 pass  # the watch on the list is open always, and keeps itself open
             case api.Log(text):
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -19,6 +19,7 @@
     Outcome,
     Probe,
     Refuse,
+    Remember,
     Remind,
     Reminded,
     Send,
@@ -194,7 +195,7 @@
         elif isinstance(action, Cancel):
             assert self.settings.may_cancel and action.attempt < len(self.sent[action.message])
         else:
-            assert isinstance(action, (HangUp, Probe, Subscribe)), action
+            assert isinstance(action, (HangUp, Probe, Remember, Subscribe)), action
             assert self.settings.may_probe or not isinstance(action, Probe)
 
     def may_have_run(self, message: int) -> bool:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -150,3 +150,13 @@
             journal.compact()
     journal.flush()
     assert Journal(folder, DISK).live == journal.live
+
+
+def test_what_is_cold_is_kept_until_it_is_warm(tmp_path):
+    journal = filled(tmp_path)
+    journal.chill("e1", 2.5)
+    journal.chill("e2", 1.0)
+    journal.warm("e2")
+    journal.flush()
+    assert Journal(tmp_path, DISK).cold == {"e1": 2.5}
+    assert Journal(tmp_path, DISK).cold == {"e1": 2.5}, "lost in a compaction"
--- /dev/null
+++ b/tests/test_resume.py
@@ -0,0 +1,64 @@
+"""What the decisions do about an earlier process, and about the end of their own."""
+
+import pytest
+from bed import SAFE, UNSAFE, Bed, Entry
+
+from crowpier.interface import Arrived, Fail, Leaving, Outcome, Remember, Remembered, Send
+
+ONE = Entry("e1", 1)
+
+
+def resumed(bed, cls, attempts, ran_ago_ms=None, left_ms=4000.0):
+    bed.taken[1], bed.since[1] = Arrived(1, cls, 1, left_ms), bed.now
+    return bed.feed(Arrived(1, cls, 1, left_ms, attempts=attempts, ran_ago_ms=ran_ago_ms, ran_endpoint="e1"))
+
+
+def test_an_unsafe_message_that_may_have_run_fails_at_once():
+    assert Fail(1) in resumed(Bed(ONE), UNSAFE, 1, 500.0)
+
+
+@pytest.mark.parametrize(("cls", "ran_ago_ms"), [(UNSAFE, None), (SAFE, 500.0)])
+def test_what_may_be_sent_again_goes_on(cls, ran_ago_ms):
+    assert any(isinstance(action, Send) for action in resumed(Bed(ONE), cls, 2, ran_ago_ms))
+
+
+def test_attempts_of_an_earlier_process_count():
+    assert Fail(1) in resumed(Bed(ONE), SAFE, 8)
+
+
+def test_a_message_whose_time_is_up_gets_its_end():
+    assert Fail(1) in resumed(Bed(ONE), SAFE, 1, left_ms=0.0)
+
+
+def test_an_endpoint_remembered_as_cold_gets_one_call_at_a_time():
+    # Guards against pushing over what returns cold after a restart in mid-outage.
+    bed = Bed(ONE)
+    bed.feed(Remembered("e1", 4.0))
+    bed.arrive_together(1, 2, 3)
+    assert len(bed.sends()) == 1
+    bed.end(bed.sends()[0].message, Outcome.OK)
+    assert not bed.sends()
+    bed.answer_all(20_000.0, 50.0)
+    assert not bed.out and Remember("e1", False) in bed.arrive(4)
+
+
+def test_an_outage_is_remembered_once():
+    bed, notes = Bed(ONE), []
+    for number in range(1, 6):
+        bed.arrive(number)
+        if bed.sends():
+            notes += [a for a in bed.end(number, Outcome.ERROR) if isinstance(a, Remember)]
+    assert [(note.endpoint, note.cold) for note in notes] == [("e1", True)]
+
+
+def test_no_unsafe_message_is_sent_shortly_before_the_end():
+    bed = Bed(ONE)
+    bed.feed(Leaving(3000.0))
+    bed.arrive(1, UNSAFE)
+    assert bed.sends()
+    bed.end(1, Outcome.OK)
+    bed.pass_ms(2500.0)
+    bed.arrive(2, UNSAFE)
+    assert not bed.sends()
+    bed.arrive(3, SAFE)
+    assert [send.message for send in bed.sends()] == [3]
