Vanished clients give way, idled connections carry no notices, a taken address is one plain line

Found by reading: connections of clients that vanished stay open and would fill the table of 1,024; a notice on a connection that was dropped unseen would come after the 300 ms that an end has; a state folder or an address that cannot be used ended the start with a traceback.

--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -106,7 +106,10 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    journal = Journal(configuration.state, configuration.disk_bytes)
+    try:
+        journal = Journal(configuration.state, configuration.disk_bytes)
+    except OSError as error:
+        raise BadConfiguration(f"ROUTER_STATE: {error}") from None
     notices = Notices(configuration.discovery, lambda message: node.notice_heard(message))
     node = Node(
         configuration.settings,
@@ -124,7 +127,10 @@
     )
     background = [loop.create_task(watch.run()), loop.create_task(notices.run())]
     clients = Clients(node, max(configuration.sockets - OWN_FILES, 16))
-    await clients.listen(configuration.listen)
+    try:
+        await clients.listen(configuration.listen)
+    except OSError as error:
+        raise BadConfiguration(f"ROUTER_LISTEN: {error}") from None
     log.info(
         "%s is ready on %s:%d, %d messages resumed", configuration.name, *clients.address, len(node.by_id)
     )
@@ -149,11 +155,10 @@
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
-        configuration = read_configuration(os.environ)
+        asyncio.run(serve(read_configuration(os.environ)))
     except BadConfiguration as error:
         print(f"rushhitch: {error}", file=sys.stderr)
         return 2
-    asyncio.run(serve(configuration))
     return 0
 
 
--- a/rushhitch/clients.py
+++ b/rushhitch/clients.py
@@ -105,12 +105,12 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
-        if len(self.server.clients) >= self.server.most:
+        if not self.server.make_room():
             self.refuse("too many clients are connected")
-        self.server.clients.add(self)
+        self.server.clients[self] = None
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.server.clients.discard(self)
+        self.server.clients.pop(self, None)
         for slot in self.slots:
             if not slot.answer and slot.handle is not None:
                 self.taker.withdraw(slot.handle)
@@ -119,6 +119,7 @@
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return
+        self.server.used(self)
         self.partial += len(data)
         try:
             self.reader.feed(data)
@@ -191,7 +192,7 @@
 
     def __init__(self, taker: Taker, most: int) -> None:
         self.taker, self.most = taker, most
-        self.clients: set[Client] = set()
+        self.clients: dict[Client, None] = {}  # in the order in which they were last heard
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: tuple[str, int]) -> None:
@@ -203,6 +204,22 @@
         assert self.server is not None, "not listening yet"
         return self.server.sockets[0].getsockname()
 
+    def used(self, client: Client) -> None:
+        if self.clients.pop(client, self) is None:
+            self.clients[client] = None
+
+    def make_room(self) -> bool:
+        """Guards against connections of clients that vanished without a word: where there are too many, the
+        one that has been silent longest gives way."""
+        if len(self.clients) < self.most:
+            return True
+        for client in self.clients:
+            if not client.slots and not client.partial:
+                client.finish()
+                self.clients.pop(client)
+                return True
+        return False
+
     def stop_listening(self) -> None:
         if self.server is not None:
             self.server.close()
--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -8,7 +8,7 @@
 import h11
 
 READ_SIZE = 65_536
-Headers = list[tuple[str, str | bytes]]
+Headers = list[tuple[bytes, bytes]]
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -44,9 +44,9 @@
         """Write a whole request; it has not been sent if this raises."""
         self.written = False
         host, port = self.sock.getpeername()
-        headers = [("Host", f"{host}:{port}"), *headers]
-        if body or method == "POST":
-            headers.append(("Content-Length", str(len(body))))
+        headers = [(b"Host", b"%s:%d" % (host.encode(), port)), *headers]
+        if method == "POST":
+            headers.append((b"Content-Length", b"%d" % len(body)))
         parts = [self.http.send(h11.Request(method=method, target=target, headers=headers))]
         if body:
             parts.append(self.http.send(h11.Data(data=body)))
--- a/rushhitch/discovery.py
+++ b/rushhitch/discovery.py
@@ -18,7 +18,8 @@
 SILENCE_S = 5.0  # a watch says something every 2 s: after so long it is dead
 CONNECT_S, ANSWER_S = 1.0, 3.0
 BACKOFF_S, BACKOFF_TOP_S = 0.2, 2.0  # between two watches: doubled each time, and stretched by chance
-NOTICE_S, NOTICE_TOP_S = 0.25, 2.0  # notices are answered at once: after so long they are sent again on
+NOTICE_S, NOTICE_TOP_S = 0.15, 2.0  # notices are answered at once: after so long they are sent again on
+NOTICE_IDLE_S = 1.0  # a connection that idled longer may have been dropped unseen: an end would come late
 NOTICE_REST_S = 0.05  # another connection, with more patience each time
 MOST_LINE = 4_000_000
 MOST_NOTICES = 100  # in one request
@@ -99,6 +100,7 @@
         self.wake, self.empty = asyncio.Event(), asyncio.Event()
         self.empty.set()
         self.connection: Connection | None = None
+        self.used_at = 0.0
 
     def add(self, message: bytes, result: str, wait_ms: float) -> None:
         notice: dict[str, Any] = {"ref": message.decode("latin-1"), "result": result}
@@ -135,7 +137,8 @@
     async def post(self, messages: list[bytes], patience: float) -> None:
         body = b"".join(json.dumps(self.due[message]).encode() + b"\n" for message in messages)
         async with asyncio.timeout(patience):
-            if self.connection is not None and not self.connection.quiet():
+            idled = asyncio.get_running_loop().time() - self.used_at
+            if self.connection is not None and (idled > NOTICE_IDLE_S or not self.connection.quiet()):
                 self.drop_connection()
             if self.connection is None:
                 self.connection = await Connection.open(self.address)
@@ -146,6 +149,7 @@
             raise Unreadable("the platform answered 400")
         if response.status_code != 204:
             raise ConnectionError(f"a notice was answered {response.status_code}")
+        self.used_at = asyncio.get_running_loop().time()
         for message in messages:
             del self.due[message]
             self.heard(message)
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -258,9 +258,9 @@
 
     async def request(self, connection: Connection, call: Call, attempts: list[Attempt]) -> None:
         left = max(attempt.stop_at for attempt in attempts) - self.loop.time()
-        headers: list[tuple[str, str | bytes]] = [("X-Time-Left-Ms", str(max(int(left * 1000.0), 1)))]
+        headers = [(b"X-Time-Left-Ms", b"%d" % max(left * 1000.0, 1.0))]
         if len(attempts) == 1:
-            headers.append(("X-Correlation-Id", attempts[0].id))
+            headers.append((b"X-Correlation-Id", attempts[0].id))
             await connection.send("POST", "/receive", headers, attempts[0].body)
         else:
             lines = (b"%s - %d\r\n%s\r\n" % (a.id, len(a.body), a.body) for a in attempts)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 
@@ -244,6 +245,19 @@
     assert done.returncode == 2 and says in done.stderr and done.stderr.count("\n") == 1
 
 
+def test_an_address_that_is_taken_ends_the_start_with_one_line(tmp_path):
+    async def work():
+        return (await Program(tmp_path).surroundings()).config()
+
+    told = asyncio.run(work())
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        told["listen"] = f"127.0.0.1:{taken.getsockname()[1]}"
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(told))
+        done = start_with(os.environ | {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(tmp_path)})
+    assert done.returncode == 2 and "ROUTER_LISTEN" in done.stderr and done.stderr.count("\n") == 1
+
+
 def test_missing_variables_are_named():
     environ = {name: value for name, value in os.environ.items() if not name.startswith("ROUTER_")}
     done = start_with(environ)
