--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -163,6 +163,30 @@
         assert await first.ask(b"PING") == b"+PONG\r\n"
 
 
+def test_a_request_that_waits_to_be_read_is_answered_before_its_connection_is_closed():
+    @with_server()
+    async def _(server, taker):
+        client = await connect(server)
+        assert await client.ask(b"PING") == b"+PONG\r\n"
+        client.send(b"PING")  # in the kernel by now, and not read while this does not wait
+        server.finish()
+        assert await client.line() == b"+PONG\r\n" and await client.line() == b""
+
+
+def test_a_client_that_takes_no_answers_is_not_read_on():
+    # Guards against answers that pile up in memory.
+    @with_server()
+    async def _(server, taker):
+        client = await connect(server)
+        assert await client.ask(b"PING") == b"+PONG\r\n"
+        (served,) = server.clients
+        served.pause_writing()
+        assert not served.transport.is_reading()
+        client.send(b"PING")
+        served.resume_writing()
+        assert await client.line() == b"+PONG\r\n"
+
+
 def test_connections_are_closed_between_requests_only():
     # Guards against ending a connection with a request on it, which would lose the message.
     @with_server()
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -8,6 +8,7 @@
 from doubles import Peer, run
 
 from crowpier.interface import Outcome, State
+from rushhitch import endpoints
 from rushhitch.endpoints import Attempt, Endpoints, Place
 
 
@@ -187,6 +188,36 @@
             await caller.result()
 
 
+def test_an_idle_connection_that_its_other_side_ends_is_closed_at_once():
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        request = await caller.partner.next()
+        request.answer(200)
+        await caller.result()
+        while not caller.endpoints.idle.get("e1"):
+            await asyncio.sleep(0)
+        request.writer.close()
+        while caller.endpoints.idle["e1"]:
+            await asyncio.sleep(0.001)
+        assert await request.ended()
+
+
+def test_no_more_connections_idle_than_the_sockets_allow(monkeypatch):
+    monkeypatch.setattr(endpoints, "MOST_IDLE", 1)
+
+    @with_caller()
+    async def _(caller):
+        caller.send(1)
+        caller.send(2)
+        first, second = await caller.partner.next(), await caller.partner.next()
+        first.answer(200)
+        await caller.result()
+        second.answer(200)
+        assert await first.ended()
+        assert sum(map(len, caller.endpoints.idle.values())) == 1
+
+
 def test_the_connection_used_last_is_reused_first():
     @with_caller()
     async def _(caller):
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,150 @@
+"""The loop round the decisions, in this process: guards that no ordinary day reaches."""
+
+import asyncio
+import errno
+import json
+
+import pytest
+from doubles import Peer, Program, run
+
+from crowpier import Dispatcher
+from crowpier.benchlink import settings_of
+from crowpier.interface import Arrived, Remembered, State
+from rushhitch import node as node_module
+from rushhitch.clients import Offer
+from rushhitch.journal import Journal
+from rushhitch.node import Node
+
+OFFER = Offer(b"m1", "note", 7, 6000.0, b"hello")
+
+
+class Bench:
+    """A node with one partner that the test plays; `ends` are its notices, `answers` what clients hear."""
+
+    async def start(self, folder):
+        program = Program(folder)
+        program.partner = program.platform = self.partner = await Peer().start()
+        config = program.config()
+        settings = settings_of(json.dumps(config["settings"]).encode())
+        self.journal = Journal(folder / "state", 3e6)
+        self.ends, self.answers = asyncio.Queue(), asyncio.Queue()
+        self.node = Node(
+            settings, Dispatcher(settings, 1), self.journal, lambda *end: self.ends.put_nowait(end)
+        )
+        self.row = config["known"]["servers"][0]
+        self.node.listed(config["known"], cached=True)
+        self.node.resume()
+        return self
+
+    def offer(self, offer=OFFER):
+        self.node.offer(offer, self.answers.put_nowait)
+
+
+def with_bench(folder):
+    def decorate(test):
+        async def work():
+            await test(await Bench().start(folder))
+
+        run(work())
+
+    return decorate
+
+
+def test_a_message_that_the_decisions_forget_gets_its_end_all_the_same(tmp_path, monkeypatch):
+    monkeypatch.setattr(Dispatcher, "handle", lambda self, now, events: [])
+
+    @with_bench(tmp_path)
+    async def _(bench):
+        bench.offer(Offer(b"m1", "note", 7, 50.0, b""))
+        assert await bench.answers.get() == b"+OK\r\n"
+        assert await bench.ends.get() == (b"m1", "dead", 0.0)
+        assert bench.node.idle.is_set()
+
+
+def test_a_fault_in_the_decisions_refuses_what_came_and_is_logged(tmp_path, monkeypatch, caplog):
+    @with_bench(tmp_path)
+    async def _(bench):
+        def broken(self, now, events):
+            raise RuntimeError("a fault of our own")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(Dispatcher, "handle", broken)
+            bench.offer()
+            assert (await bench.answers.get()).startswith(b"-BUSY")
+        bench.offer(Offer(b"m2", "note", 7, 6000.0, b""))
+        assert await bench.answers.get() == b"+OK\r\n"
+
+    assert "Traceback" in caplog.text and "a fault of our own" in caplog.text
+
+
+def test_nothing_is_taken_on_or_sent_that_the_journal_does_not_tell(tmp_path, monkeypatch):
+    @with_bench(tmp_path)
+    async def _(bench):
+        def full(fd, data):
+            raise OSError(errno.ENOSPC, "no space left")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(Journal, "write", staticmethod(full))
+            bench.offer()
+            assert (await bench.answers.get()).startswith(b"-BUSY")
+        bench.offer(Offer(b"m2", "note", 7, 6000.0, b""))
+        assert await bench.answers.get() == b"+OK\r\n"
+        assert (await bench.partner.next()).headers["x-correlation-id"] == "m2"
+
+
+def test_a_message_that_is_handed_in_twice_is_taken_on_once(tmp_path):
+    @with_bench(tmp_path)
+    async def _(bench):
+        bench.offer()
+        assert await bench.answers.get() == b"+OK\r\n"
+        bench.offer()
+        assert await bench.answers.get() == b"+OK\r\n"
+        assert len(bench.node.by_id) == 1
+
+
+def test_what_is_cold_is_told_to_the_decisions_of_the_next_process(tmp_path, monkeypatch):
+    told = []
+    handle = Dispatcher.handle
+
+    def listening(self, now, events):
+        told.extend(events)
+        return handle(self, now, events)
+
+    monkeypatch.setattr(Dispatcher, "handle", listening)
+
+    @with_bench(tmp_path)
+    async def _(bench):
+        bench.journal.chill("e1", 2.5)
+        bench.journal.flush()
+
+    @with_bench(tmp_path)
+    async def _(bench):
+        assert Remembered("e1", 2.5) in told and not any(isinstance(event, Arrived) for event in told)
+
+
+def test_a_full_house_refuses_and_tells_when_to_come_back(tmp_path):
+    @with_bench(tmp_path)
+    async def _(bench):
+        for number in range(bench.node.settings.max_held + 1):
+            bench.offer(Offer(b"m%d" % number, "note", 7, 6000.0, b""))
+        assert await bench.answers.get() == b"-BUSY %d\r\n" % node_module.BUSY_MS
+
+
+def test_an_entry_that_makes_no_sense_is_left_out_and_one_that_is_gone_needs_its_id_only(tmp_path, caplog):
+    @with_bench(tmp_path)
+    async def _(bench):
+        rows = [bench.row | {"id": "e2", "kind": "unheard"}, bench.row | {"id": "e3", "addr": "nowhere"}]
+        bench.node.listed({"version": 42, "servers": [*rows, {"id": "e1", "state": "DELETED"}]})
+        assert list(bench.node.entries) == ["e1"]
+        assert bench.node.endpoints.places["e1"].state is State.GONE
+
+    assert caplog.text.count("an entry is left out") == 2
+
+
+@pytest.mark.parametrize("full", [True, False])
+def test_what_a_whole_list_leaves_out_is_gone(tmp_path, full):
+    @with_bench(tmp_path)
+    async def _(bench):
+        bench.node.listed({"version": 42, "full": full, "servers": [bench.row | {"id": "e2"}]})
+        state = bench.node.endpoints.places["e1"].state
+        assert state is (State.GONE if full else State.READY)
