SIGHUP moves to the file's discovery; clients that say nothing or nonsense are told so and closed

Probed: hiredis on "*" makes the list lazily and takes 5.9 s to give it back, also one level down; so the framing is followed ahead of it. hiredis itself takes "$3 PING" apart without a look at the CRLF; that is refused now. The file's discovery goes before ROUTER_DISCOVERY, at the start too, so that a restart stays at the new address.

--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -19,7 +19,7 @@
 from crowpier.interface import Settings
 from rushhitch.clients import Clients
 from rushhitch.connection import parse_address
-from rushhitch.discovery import Notices, Watch
+from rushhitch.discovery import Notices, Platform, Watch
 from rushhitch.journal import Journal
 from rushhitch.node import Node
 
@@ -27,7 +27,8 @@
 
 ACCEPT_S = 0.6  # after SIGTERM: connections go on coming for a while
 LEAVE_S = 3.3  # after SIGTERM: what is not over by then stays in the journal
-OWN_FILES = 256  # descriptors kept for endpoints, discovery and the process itself
+CLIENT_SHARE = 1 / 3  # of the descriptors: clients hold so many at most for requests
+SPARE_CLIENTS = 24  # beyond them, for those that come to be turned away
 
 
 class BadConfiguration(ValueError):
@@ -50,7 +51,8 @@
 
 
 def read_configuration(environ: Mapping[str, str]) -> Configuration:
-    """From the variables and the file that `ROUTER_CONFIG` names; the variables go first."""
+    """From the variables and the file that `ROUTER_CONFIG` names. The variables go first, but for `discovery`
+    the file does: it can be replaced while the process runs, and what it says holds after a restart too."""
     for name in ("ROUTER_CONFIG", "ROUTER_STATE"):
         if not environ.get(name):
             raise BadConfiguration(f"{name} is not set")
@@ -83,7 +85,7 @@
     return Configuration(
         get(str, "name", variable="ROUTER_NAME"),
         get(parse_address, "listen", variable="ROUTER_LISTEN"),
-        get(parse_address, "discovery", variable="ROUTER_DISCOVERY"),
+        get(parse_address, "discovery", variable="" if "discovery" in told else "ROUTER_DISCOVERY"),
         state,
         get(lambda text: int(text, 16), "seed"),
         get(int, "limits", "sockets"),
@@ -106,6 +108,8 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    changed = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
     try:
         journal = Journal(configuration.state, configuration.disk_bytes)
     except OSError as error:
@@ -125,8 +129,10 @@
         node.listed,
         random.Random(configuration.seed),
     )
-    background = [loop.create_task(watch.run()), loop.create_task(notices.run())]
-    clients = Clients(node, max(configuration.sockets - OWN_FILES, 16))
+    platform = Platform(watch, notices)
+    platform.start()
+    reloading = loop.create_task(reload(changed, platform))
+    clients = Clients(node, int(CLIENT_SHARE * configuration.sockets) + SPARE_CLIENTS)
     try:
         await clients.listen(configuration.listen)
     except OSError as error:
@@ -148,8 +154,22 @@
     except TimeoutError:
         pass
     log.info("%s ends, %d messages stay in the journal", configuration.name, len(journal.live))
-    for task in background:
-        task.cancel()
+    reloading.cancel()
+    platform.stop()
+
+
+async def reload(changed: asyncio.Event, platform: Platform) -> None:
+    """After each SIGHUP, go on with the file's `discovery`; all else in it waits for a restart."""
+    while True:
+        await changed.wait()
+        changed.clear()
+        try:
+            address = read_configuration(os.environ).discovery
+        except BadConfiguration as error:
+            log.error("SIGHUP: the old configuration stays: %s", error)
+            continue
+        log.info("SIGHUP: discovery is at %s:%d", *address)
+        platform.move(address)
 
 
 def main() -> int:
--- a/rushhitch/discovery.py
+++ b/rushhitch/discovery.py
@@ -41,6 +41,10 @@
         self.chance, self.silence_s = chance, silence_s
         self.failures = 0
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The next `run` opens its watch there at once, from the version known."""
+        self.address, self.failures = address, 0
+
     async def run(self) -> None:
         while True:
             try:
@@ -110,7 +114,18 @@
         self.empty.clear()
         self.wake.set()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The next `run` sends there all that is due, also what the old address may have heard."""
+        self.address = address
+        self.wake.set()
+
     async def run(self) -> None:
+        try:
+            await self.tell()
+        finally:
+            self.drop_connection()
+
+    async def tell(self) -> None:
         most, patience = MOST_NOTICES, NOTICE_S
         while True:
             await self.wake.wait()
@@ -160,3 +175,26 @@
         if self.connection is not None:
             self.connection.close()
             self.connection = None
+
+
+class Platform:
+    """The watch and the notices at work, at one address at a time."""
+
+    def __init__(self, watch: Watch, notices: Notices) -> None:
+        self.watch, self.notices = watch, notices
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(self.watch.run()), loop.create_task(self.notices.run())]
+
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at the new address at once; the connections to the old one are closed."""
+        self.stop()
+        self.watch.move(address)
+        self.notices.move(address)
+        self.start()
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -114,6 +114,8 @@
         """A client hands a message in; it is answered at the end of the turn."""
         if offer.cls not in self.classes:
             raise BadRequest(f"unknown class {offer.cls[:40]!r}")
+        if offer.left_ms > (most := self.settings.classes[self.classes[offer.cls]].deadline_ms):
+            raise BadRequest(f"d must be at most {most:g} for class {offer.cls}, not {offer.left_ms:g}")
         if offer.destination not in self.destinations:
             raise BadRequest(f"unknown destination {offer.destination}")
         if held := self.by_id.get(offer.id):
--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -105,6 +105,7 @@
 
     async def surroundings(self) -> Program:
         self.partner, self.platform = await Peer().start(), await Peer().start()
+        self.first_discovery = "{}:{}".format(*self.platform.address)
         return self
 
     def config(self) -> dict:
@@ -129,6 +130,7 @@
         path.write_text(json.dumps(self.config()))
         env = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
         env |= {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(self.folder / "state")}
+        env["ROUTER_DISCOVERY"] = self.first_discovery
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "rushhitch", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
         )
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from rushhitch import clients
 from rushhitch.clients import MOST_BODY, BadRequest, Clients, parse_offer
 
 
@@ -75,6 +76,12 @@
         b"*1\r\n$-7\r\n",
         b"*1\r\n$9999999\r\n" + bytes(80_000),
         b"\x00\xff\x00\r\n",
+        b"*0\r\n",
+        b"*2000000000\r\n",
+        b"*5\r\n*2000000000\r\n",
+        b"*1\r\n$60000000\r\n",
+        b"*1\r\n$3\r\nPING\r\n",
+        b"*" + b"1" * 100,
         b"GET / HTTP/1.1\r\n\r\n",
     ],
 )
@@ -99,6 +106,8 @@
         ([b"OUT.ADD", b"0", b"m 1", b"c=note,d=1,dest=1", b""], b"id"),
         ([b"OUT.ADD", b"0", b"m\r\n1", b"c=note,d=1,dest=1", b""], b"id"),
         ([b"OUT.ADD", b"xyz", b"m1", b"c=note,d=1,dest=1", b""], b"key"),
+        ([b"OUT.ADD", b"-0x1", b"m1", b"c=note,d=1,dest=1", b""], b"key"),
+        ([b"OUT.ADD", b"0" * 40, b"m1", b"c=note,d=1,dest=1", b""], b"key"),
         ([b"OUT.ADD", b"0", b"m1", b"d=1,dest=1", b""], b"field c"),
         ([b"OUT.ADD", b"0", b"m1", b"c=note,d=-1,dest=1", b""], b"d must"),
         ([b"OUT.ADD", b"0", b"m1", b"c=note,d=1,dest=north", b""], b"dest must"),
@@ -196,7 +205,7 @@
         _, answer = await taker.offers.get()
         writing.writer.write(b"*1\r\n$4\r\nPI")
         assert await idle.ask(b"PING") == b"+PONG\r\n"
-        while not any(client.partial for client in server.clients):
+        while not any(client.framing.size for client in server.clients):
             await asyncio.sleep(0)
         server.stop_listening()
         server.finish()
@@ -205,3 +214,91 @@
         assert await asking.line() == b"+OK\r\n" and await asking.line() == b""
         writing.writer.write(b"NG\r\n")
         assert await writing.line() == b"+PONG\r\n" and await writing.line() == b""
+
+
+@pytest.mark.parametrize("said", [b"", b"*1\r\n$4\r\nPI", b"*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI"])
+def test_a_client_that_says_nothing_or_half_a_request_is_told_so_and_closed(said, monkeypatch):
+    # Guards against descriptors that silent clients hold for good.
+    monkeypatch.setattr(clients, "SILENT_S", 0.1)
+
+    @with_server()
+    async def _(server, taker):
+        client = await connect(server)
+        client.writer.write(said)
+        lines = (await client.reader.read()).splitlines()
+        assert lines[:-1] == [b"+PONG"] * said.count(b"PING") and lines[-1].startswith(b"-ERR ")
+
+
+def test_a_connection_kept_for_good_is_closed_between_requests_only(monkeypatch):
+    monkeypatch.setattr(clients, "SILENT_S", 0.1)
+    monkeypatch.setattr(clients, "IDLE_S", 0.2)
+
+    @with_server()
+    async def _(server, taker):
+        kept, asking = await connect(server), await connect(server)
+        asking.send(*ADD)
+        _, answer = await taker.offers.get()
+        assert await kept.ask(b"PING") == b"+PONG\r\n" and await kept.line() == b""
+        answer(b"+OK\r\n")
+        assert await asking.line() == b"+OK\r\n" and await asking.line() == b""
+
+
+def test_a_crowd_that_says_nothing_gives_way_to_those_who_ask():
+    @with_server(most=4)
+    async def _(server, taker):
+        good = await connect(server)
+        assert await good.ask(b"PING") == b"+PONG\r\n"
+        crowd = [await connect(server) for _ in range(60)]
+        late = await connect(server)
+        assert await late.ask(b"PING") == b"+PONG\r\n" and await good.ask(b"PING") == b"+PONG\r\n"
+        assert [await client.line() for client in crowd[:50]] == [b""] * 50
+
+
+def test_many_requests_at_once_are_served_in_turns_and_none_is_lost(monkeypatch):
+    # Guards against one connection that holds up all others.
+    monkeypatch.setattr(clients, "BURST", 4)
+
+    @with_server()
+    async def _(server, taker):
+        client = await connect(server)
+        for _ in range(30):
+            client.send(*ADD)
+        for _ in range(30):
+            _, answer = await taker.offers.get()
+            assert taker.offers.qsize() < 4
+            answer(b"+OK\r\n")
+        assert [await client.line() for _ in range(30)] == [b"+OK\r\n"] * 30
+
+
+def test_after_an_error_nothing_is_read_for_a_while(monkeypatch):
+    # Guards against a client that asks the same again as soon as it is turned away.
+    monkeypatch.setattr(clients, "TURNED_AWAY_S", 30.0)
+
+    @with_server()
+    async def _(server, taker):
+        client, good = await connect(server), await connect(server)
+        assert (await client.ask(b"GIVE")).startswith(b"-ERR ")
+        client.send(b"PING")
+        assert await good.ask(b"PING") == b"+PONG\r\n"
+        (served,) = (client for client in server.clients if client.resting)
+        assert not served.transport.is_reading() and served.unread()
+        served.serve()
+        assert await client.line() == b"+PONG\r\n"
+
+
+def pack(words):
+    return b"".join([b"*%d\r\n" % len(words), *(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)])
+
+
+@given(st.lists(st.lists(st.binary(max_size=9), min_size=1, max_size=5), max_size=4), st.data())
+@settings(derandomize=True, deadline=None)
+def test_framing_passes_what_makes_sense_however_it_is_cut(requests, data):
+    framing, at = clients.Framing(), 0
+    text = b"".join(map(pack, requests))
+    while at < len(text):
+        step = data.draw(st.integers(1, len(text)))
+        piece = text[at : at + step]
+        assert framing.follow(piece) == len(piece) and not framing.wrong
+        at += step
+    assert framing.size == 0
+    assert framing.follow(b"*1\r\n$4\r\nPI") == 10 and framing.size == 10
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,7 +7,7 @@
 from doubles import Peer, run
 
 from rushhitch import discovery
-from rushhitch.discovery import Notices, Watch
+from rushhitch.discovery import Notices, Platform, Watch
 
 
 def with_watch(silence_s=30.0):
@@ -143,3 +143,34 @@
         assert json.loads(request.body)["ref"] == "m2"
         request.answer(204)
         assert await heard.get() == b"m2"
+
+
+def test_a_move_goes_on_at_the_new_address_at_once_and_closes_the_old_connections(monkeypatch):
+    # Guards against waiting out a backoff, or a patience, that the old address has earned.
+    monkeypatch.setattr(discovery, "NOTICE_S", 30.0)
+
+    async def work():
+        old, new = await Peer().start(), await Peer().start()
+        told, heard = asyncio.Queue(), asyncio.Queue()
+        watch = Watch(old.address, 41, told.put_nowait, random.Random(1))
+        notices = Notices(old.address, heard.put_nowait)
+        platform = Platform(watch, notices)
+        platform.start()
+        request = await old.next()
+        request.start_watch()
+        request.chunk(json.dumps(news(42)))
+        await told.get()
+        notices.add(b"m1", "dead", 0.0)
+        unanswered = await old.next()
+        watch.failures = 16
+        platform.move(new.address)
+        requests = {request.target: request for request in (await new.next(), await new.next())}
+        assert set(requests) == {"/discovery/hosts?watch=1&from=42", "/status"}
+        assert json.loads(requests["/status"].body)["ref"] == "m1"
+        requests["/status"].answer(204)
+        assert await heard.get() == b"m1"
+        assert await request.ended() and await unanswered.ended()
+        assert watch.failures == 0
+        platform.stop()
+
+    run(work())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,7 +9,7 @@
 import sys
 
 import pytest
-from doubles import ROOT, Program, run
+from doubles import ROOT, Peer, Program, run
 
 
 def with_program(tmp_path, batch=1):
@@ -216,6 +216,42 @@
         assert await client.add(b"m1") == b"+OK\r\n"
 
 
+async def watched(platform):
+    while not (request := await platform.next()).target.startswith("/discovery/hosts?watch=1&from=41"):
+        pass  # a notice
+    return request
+
+
+def test_sighup_goes_on_with_the_discovery_of_the_file_and_a_restart_stays_there(tmp_path):
+    # Guards against ending on SIGHUP, and against the variable, which still names the old address.
+    @with_program(tmp_path)
+    async def _(program):
+        old, path = program.platform, tmp_path / "config.json"
+        watch = await watched(old)
+        path.write_text(path.read_text()[:100])
+        program.process.send_signal(signal.SIGHUP)
+        await program.log_line("SIGHUP: the old configuration stays")
+        assert not watch.over.is_set()
+        for _ in range(2):
+            program.platform = await Peer().start()
+            path.write_text(json.dumps(program.config()))
+            program.process.send_signal(signal.SIGHUP)
+            await watched(program.platform)
+            assert await watch.ended()
+        client = await program.client()
+        await client.add(b"m1", "pay", 24000)
+        (await program.partner.next()).answer(500)
+        assert await program.notice() == {"ref": "m1", "result": "dead"}
+        await program.kill()
+        await program.start()
+        await watched(program.platform)
+        program.process.send_signal(signal.SIGTERM)
+        await program.log_line("is leaving")
+        program.process.send_signal(signal.SIGHUP)
+        await watched(program.platform)
+        assert await program.process.wait() == 0
+
+
 def start_with(environ):
     return subprocess.run(
         [sys.executable, "-m", "rushhitch"], cwd=ROOT, env=environ, capture_output=True, text=True, timeout=60
