Spoilt answers told from broken connections; nothing kept of endpoints that are gone; messages by number

Cause: a spoilt answer was reported as RESET, which the module takes for an idle connection that failed (distrust), and hung up all of them. Endpoints.answer reported 410, 429, 503 and 504 from the head alone; an answer that never ended held its call until the time to stop. Now: an answer counts when it is whole; spoilt ones are ERROR, but a single call whose first line says 200 is delivered; 0.5 s from its first byte an answer must have ended. Connections have a total, calls count by endpoint, gone endpoints leave every table in both packages. The module is told what its connections really did (idled_ms, kept): its belief was that every answered call leaves an idle connection. One bad event no longer costs the others of its turn. One reminder timer in place of one for each Remind (each late one asked for a further one).

--- a/crowpier/interface.py
+++ b/crowpier/interface.py
@@ -229,7 +229,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt has its outcome; `finished` tells that the message is over and owes no answer."""
+    """An attempt has its outcome; `finished` tells that the message is over and owes no answer.
+
+    Where the caller knows it, `idled_ms` tells how long the call's connection had stood idle before (0: it
+    was new, or never came up) and `kept` whether it is idle again.
+    """
 
     message: int
     attempt: int
@@ -238,6 +242,8 @@
     took_ms: float
     finished: bool = False
     wait_ms: float = 0.0
+    idled_ms: float | None = None
+    kept: bool | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -132,9 +132,9 @@
 class Endpoint:
     """One address of a destination: its score, the calls out, and its circuit breaker."""
 
-    def __init__(self, entry: api.Entry, lane: Lane) -> None:
+    def __init__(self, entry: api.Entry, lane: Lane, destination: Destination) -> None:
         self.name, self.kind, self.zone = entry.endpoint, entry.kind, entry.zone
-        self.state, self.lane = State.READY, lane
+        self.state, self.lane, self.destination = State.READY, lane, destination
         self.score, self.scored_at = PRIOR, 0.0
         self.calls: dict[int, Call] = {}
         self.idle: list[float] = []
@@ -233,7 +233,10 @@
             raise ValueError(f"time runs backwards: {now_ms} after {self.now}; hand batches in in order")
         self.now, self.actions = now_ms, []
         for event in events:
-            self.take(event)
+            try:
+                self.take(event)
+            except ValueError as error:  # the others of the moment hold all the same
+                self.actions.append(api.Log(f"left out: {error}"))
         self.ask_for_list()
         self.end_late()
         self.hang_up()
@@ -278,7 +281,29 @@
                 if endpoint.name not in named:
                     endpoint.state = State.GONE
         for entry in news.entries:
-            self.enter(entry)
+            try:
+                self.enter(entry)
+            except ValueError as error:
+                self.actions.append(api.Log(f"left out: {error}"))
+        self.forget_gone()
+
+    def forget_gone(self) -> None:
+        """Guards against growth where endpoints come and go; a lane is remembered for a while."""
+        for endpoint in [e for e in self.endpoints.values() if e.state is State.GONE]:
+            self.remove(endpoint)
+        for key, lane in list(self.lanes.items()):
+            if not lane.endpoints and max(lane.wait_until, lane.sent.at + PART_MS) <= self.now:
+                del self.lanes[key]
+        for number, destination in list(self.destinations.items()):
+            if not (destination.endpoints or destination.held or destination.calls or number in self.lanes):
+                del self.destinations[number]
+
+    def remove(self, endpoint: Endpoint) -> None:
+        if endpoint.calls or self.endpoints.get(endpoint.name) is not endpoint:
+            return
+        del self.endpoints[endpoint.name]
+        endpoint.lane.endpoints.remove(endpoint)
+        endpoint.destination.endpoints.remove(endpoint)
 
     def enter(self, entry: api.Entry) -> None:
         if entry.kind >= len(self.settings.kinds) or entry.zone >= len(self.settings.zones):
@@ -286,10 +311,13 @@
         endpoint = self.endpoints.get(entry.endpoint)
         kind = self.settings.kinds[entry.kind]
         if endpoint is None:
+            if entry.state is State.GONE:
+                return
             lane = self.lanes.setdefault(entry.endpoint if kind.apart else entry.destination, Lane())
-            endpoint = self.endpoints[entry.endpoint] = Endpoint(entry, lane)
+            destination = self.destinations[entry.destination]
+            endpoint = self.endpoints[entry.endpoint] = Endpoint(entry, lane, destination)
             lane.endpoints.append(endpoint)
-            self.destinations[entry.destination].endpoints.append(endpoint)
+            destination.endpoints.append(endpoint)
         endpoint.state = entry.state
         if self.settings.told_rates and entry.rate_per_s > 0:
             lane = endpoint.lane
@@ -301,6 +329,7 @@
 
     def arrived(self, event: api.Arrived) -> None:
         if event.cls >= len(self.settings.classes):
+            self.actions.append(api.Refuse(event.message))
             raise ValueError(f"message {event.message}: class {event.cls} is not one of the settings'")
         cls, destination = self.settings.classes[event.cls], self.destinations[event.destination]
         message = Message(event, cls, destination, self.now)
@@ -403,8 +432,6 @@
         call = message.attempts[event.attempt] if message and event.attempt < len(message.attempts) else None
         if call is None:
             return
-        if call.endpoint.name != event.endpoint:
-            raise ValueError(f"message {event.message}: attempt {event.attempt} went to {call.endpoint.name}")
         message.attempts[event.attempt] = None
         message.out -= 1
         self.settle(call, event)
@@ -425,9 +452,9 @@
         if not call.left:
             self.used -= 1
             del call.destination.calls[call.number], call.endpoint.calls[call.number]
-            if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
-                call.endpoint.idle.append(self.now)
-                self.parked.append((self.now, call.endpoint))
+            self.note_connection(call, event)
+            if call.endpoint.state is State.GONE:
+                self.remove(call.endpoint)
         call.endpoint.lane.heed(self.now, event.wait_ms)  # each message of a call may tell a wait of its own
         if call.judged or event.outcome in (Outcome.MOOT, Outcome.CANCELLED):
             return
@@ -441,6 +468,19 @@
         if event.outcome is Outcome.OK:
             self.time_call(call, event.took_ms)
 
+    def note_connection(self, call: Call, event: AttemptEnded) -> None:
+        """Which connections are idle: as told, or else as the outcome has it."""
+        if event.idled_ms is not None:
+            if call.idle_ms and not event.idled_ms:
+                call.endpoint.idle.clear()  # an idle one would have been used: none was left
+            call.idle_ms = event.idled_ms
+        kept = (
+            event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) if event.kept is None else event.kept
+        )
+        if kept:
+            call.endpoint.idle.append(self.now)
+            self.parked.append((self.now, call.endpoint))
+
     # Connections are kept idle for as long as they are seen to last. Guards against those dropped unseen, on
     # which a message may be lost; such a failure tells nothing of the endpoint. Guards as well against tables
     # full of idle ones, where connects fail. It hurts where an outage is taken for either: more handshakes.
--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -27,6 +27,7 @@
 
 ACCEPT_S = 0.6  # after SIGTERM: connections go on coming for a while
 LEAVE_S = 3.3  # after SIGTERM: what is not over by then stays in the journal
+OWN_FILES = 48  # descriptors for the process itself, discovery, and connections that are being closed
 CLIENT_SHARE = 1 / 3  # of the descriptors: clients hold so many at most for requests
 SPARE_CLIENTS = 24  # beyond them, for those that come to be turned away
 
@@ -114,12 +115,14 @@
         journal = Journal(configuration.state, configuration.disk_bytes)
     except OSError as error:
         raise BadConfiguration(f"ROUTER_STATE: {error}") from None
-    notices = Notices(configuration.discovery, lambda message: node.notice_heard(message))
+    most_clients = int(CLIENT_SHARE * configuration.sockets) + SPARE_CLIENTS
+    notices = Notices(configuration.discovery, lambda number: node.notice_heard(number))
     node = Node(
         configuration.settings,
         Dispatcher(configuration.settings, configuration.seed),
         journal,
         notices.add,
+        configuration.sockets - most_clients - OWN_FILES,
     )
     node.listed(configuration.known, cached=True)
     node.resume()
@@ -132,7 +135,7 @@
     platform = Platform(watch, notices)
     platform.start()
     reloading = loop.create_task(reload(changed, platform))
-    clients = Clients(node, int(CLIENT_SHARE * configuration.sockets) + SPARE_CLIENTS)
+    clients = Clients(node, most_clients)
     try:
         await clients.listen(configuration.listen)
     except OSError as error:
--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
+from collections.abc import Callable
 
 import h11
 
 READ_SIZE = 65_536
+MOST_FIRST_LINE = 1_024
+MOST_INTERIM = 20  # 1xx answers before the answer proper
+INTERIM, DELIVERED = re.compile(rb"HTTP/1\.[01] 1"), re.compile(rb"HTTP/1\.[01] 200(?!\d)")
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -20,12 +25,14 @@
 
 
 class Connection:
-    """Sends requests one at a time; `written` says whether the last byte of the newest one has gone out."""
+    """Sends requests one at a time. `written` says whether the last byte of the newest one has gone out,
+    `head` how its answer begins, past any 1xx."""
 
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock, self.http = sock, h11.Connection(h11.CLIENT)
+    def __init__(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        self.sock, self.address, self.http = sock, address, h11.Connection(h11.CLIENT)
         self.loop = asyncio.get_running_loop()
-        self.written = False
+        self.written, self.head, self.interim = False, b"", 0
+        self.begun: Callable[[], None] | None = None  # called as an answer proper begins
 
     @classmethod
     async def open(cls, address: tuple[str, int]) -> Connection:
@@ -38,13 +45,12 @@
         except BaseException:
             sock.close()
             raise
-        return cls(sock)
+        return cls(sock, address)
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes = b"") -> None:
         """Write a whole request; it has not been sent if this raises."""
-        self.written = False
-        host, port = self.sock.getpeername()
-        headers = [(b"Host", b"%s:%d" % (host.encode(), port)), *headers]
+        self.written, self.head, self.interim = False, b"", 0
+        headers = [(b"Host", "{}:{}".format(*self.address).encode()), *headers]
         if method == "POST":
             headers.append((b"Content-Length", b"%d" % len(body)))
         parts = [self.http.send(h11.Request(method=method, target=target, headers=headers))]
@@ -59,11 +65,30 @@
         while True:
             event = self.http.next_event()
             if event is h11.NEED_DATA:
-                self.http.receive_data(await self.loop.sock_recv(self.sock, READ_SIZE))
+                data = await self.loop.sock_recv(self.sock, READ_SIZE)
+                if not data and not self.head:
+                    raise ConnectionResetError("the connection ended before its answer")
+                if len(self.head) < MOST_FIRST_LINE:
+                    self.starts(data)
+                self.http.receive_data(data)
             elif isinstance(event, (h11.Response, h11.Data, h11.EndOfMessage)):
                 return event
-            elif not isinstance(event, h11.InformationalResponse):
-                raise ConnectionResetError("the connection ended before its answer")
+            elif isinstance(event, h11.InformationalResponse) and self.interim < MOST_INTERIM:
+                self.interim, self.head = self.interim + 1, b""
+                self.starts(self.http.trailing_data[0])
+            else:
+                raise h11.RemoteProtocolError(f"no answer, but {event!r}")
+
+    def starts(self, data: bytes) -> None:
+        """Keep how the answer begins; h11 may reject it, and its first line holds all the same."""
+        first, self.head = not self.head, self.head + data[:MOST_FIRST_LINE]
+        if first and self.head and self.begun is not None and not INTERIM.match(self.head):
+            self.begun()
+
+    @property
+    def delivered(self) -> bool:
+        """Whether the first line of the answer says 200."""
+        return DELIVERED.match(self.head) is not None
 
     async def response(self) -> h11.Response:
         """The head of the answer."""
--- a/rushhitch/discovery.py
+++ b/rushhitch/discovery.py
@@ -98,19 +98,19 @@
 class Notices:
     """Tells the platform of each end until it has heard: 204 is its word for that."""
 
-    def __init__(self, address: tuple[str, int], heard: Callable[[bytes], None]) -> None:
+    def __init__(self, address: tuple[str, int], heard: Callable[[int], None]) -> None:
         self.address, self.heard = address, heard
-        self.due: dict[bytes, dict[str, Any]] = {}
+        self.due: dict[int, dict[str, Any]] = {}  # by the message's number: its id may have come again
         self.wake, self.empty = asyncio.Event(), asyncio.Event()
         self.empty.set()
         self.connection: Connection | None = None
         self.used_at = 0.0
 
-    def add(self, message: bytes, result: str, wait_ms: float) -> None:
+    def add(self, number: int, message: bytes, result: str, wait_ms: float) -> None:
         notice: dict[str, Any] = {"ref": message.decode("latin-1"), "result": result}
         if wait_ms > 0:
             notice["wait_ms"] = int(wait_ms)
-        self.due[message] = notice
+        self.due[number] = notice
         self.empty.clear()
         self.wake.set()
 
@@ -149,8 +149,8 @@
                 await asyncio.sleep(NOTICE_REST_S)
             self.empty.set()
 
-    async def post(self, messages: list[bytes], patience: float) -> None:
-        body = b"".join(json.dumps(self.due[message]).encode() + b"\n" for message in messages)
+    async def post(self, numbers: list[int], patience: float) -> None:
+        body = b"".join(json.dumps(self.due[number]).encode() + b"\n" for number in numbers)
         async with asyncio.timeout(patience):
             idled = asyncio.get_running_loop().time() - self.used_at
             if self.connection is not None and (idled > NOTICE_IDLE_S or not self.connection.quiet()):
@@ -165,9 +165,9 @@
         if response.status_code != 204:
             raise ConnectionError(f"a notice was answered {response.status_code}")
         self.used_at = asyncio.get_running_loop().time()
-        for message in messages:
-            del self.due[message]
-            self.heard(message)
+        for number in numbers:
+            del self.due[number]
+            self.heard(number)
         if not self.connection.next_cycle():
             self.drop_connection()
 
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
 
@@ -16,7 +17,7 @@
 log = logging.getLogger(__name__)
 
 MOST_ANSWER = 65_536
-MOST_IDLE = 128  # connections: beyond this the one that has idled longest is closed
+REST_S = 0.5  # an answer that has begun comes to its end in that time, or it is spoilt
 IDLE_MARGIN = 0.1  # of the idle time of connections: so long before its end one is not used any more
 ENDS = {  # of a message in a batch: its outcome, and whether the message is over
     b"accepted": (Outcome.OK, True),
@@ -50,7 +51,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """How an attempt ended; `over` says that the message is finished, however that came."""
+    """How an attempt ended; `over` says that the message is finished, however that came. `idled_ms` is how
+    long its connection had stood idle, 0 if it was new or never came up; `kept`, whether it is idle again."""
 
     attempt: Attempt
     endpoint: str
@@ -58,6 +60,8 @@
     took_ms: float
     wait_ms: float = 0.0
     over: bool = False
+    idled_ms: float = 0.0
+    kept: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -67,6 +71,10 @@
     endpoint: str
     started: float
     open: dict[tuple[int, int], Attempt]
+    ids: list[bytes]
+    wait: float = 0.0  # told by its answer
+    idled_ms: float = 0.0
+    kept: bool = False
     timers: list[asyncio.TimerHandle] = field(default_factory=list)
     task: asyncio.Task[None] | None = None
 
@@ -100,14 +108,30 @@
     return Outcome.ERROR, False  # it may have run
 
 
+def batch_ends(body: bytes, ids: list[bytes]) -> dict[bytes, tuple[Outcome, bool]]:
+    """What the answer to a batch says of each message; one that is not whole and well-formed is spoilt."""
+    told = [line.rpartition(b" ") for line in body.removesuffix(b"\r\n").split(b"\r\n")]
+    ends = {name: ENDS[end] for name, _, end in told if end in ENDS}
+    if len(told) != len(ids) or ends.keys() != set(ids):
+        raise h11.RemoteProtocolError("the answer does not tell each message's end")
+    return ends
+
+
+class NoRoom(OSError):
+    """All connections that may be open are, and each has a call on it."""
+
+
 class Endpoints:
     """Carries out sends, cancels, probes and hang-ups; hands each result to `report`."""
 
-    def __init__(self, settings: Settings, report: Callable[[Result], None]) -> None:
+    def __init__(self, settings: Settings, report: Callable[[Result], None], most: int = 256) -> None:
         self.settings, self.report = settings, report
+        self.most = most  # connections, with a call or idle
         self.loop = asyncio.get_running_loop()
         self.places: dict[str, Place] = {}
         self.idle: dict[str, list[tuple[Connection, float]]] = {}
+        self.connections = 0
+        self.busy: Counter[str] = Counter()  # calls and probes out, by endpoint
         self.calls: dict[tuple[int, int], Call] = {}
         self.waits: dict[object, float] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -117,74 +141,118 @@
         """The endpoint is listed here from now on."""
         old = self.places.get(endpoint)
         self.places[endpoint] = place
-        if old is not None and old.address != place.address:
+        if place.state is not State.READY or (old is not None and old.address != place.address):
             self.hang_up(endpoint)
 
     def bar(self, endpoint: str) -> None:
         """The endpoint is no longer listed."""
-        self.places[endpoint] = replace(self.places[endpoint], state=State.GONE)
+        if endpoint in self.places:
+            self.places[endpoint] = replace(self.places[endpoint], state=State.GONE)
+            self.hang_up(endpoint)
+            self.forget(endpoint)
+
+    def forget(self, endpoint: str) -> None:
+        """Guards against growth where endpoints come and go: of one that is gone only a wait is kept."""
+        if not self.busy[endpoint]:
+            del self.busy[endpoint]
+            place = self.places.get(endpoint)
+            if place is not None and place.state is State.GONE:
+                del self.places[endpoint]
+                now = self.loop.time()
+                self.waits = {lane: until for lane, until in self.waits.items() if until > now}
 
     # Connections
 
-    def take(self, endpoint: str) -> Connection | None:
-        """The connection that was used last, unless it has idled too long or is no longer quiet."""
+    def take(self, endpoint: str) -> tuple[Connection, float] | None:
+        """The connection used last and how long it idled, unless that is too long or it is not quiet."""
         while idle := self.idle.get(endpoint):
-            connection, since = idle.pop()
-            self.loop.remove_reader(connection.sock)
-            if self.loop.time() - since < self.keep_s and connection.quiet():
-                return connection
-            connection.close()
+            connection, since = idle[-1]
+            idled = self.loop.time() - since
+            if idled < self.keep_s and connection.quiet():
+                self.unlist(endpoint, idle[-1])
+                return connection, idled
+            self.drop(endpoint, idle[-1])
         return None
 
     def put(self, endpoint: str, connection: Connection) -> None:
+        """Keep the connection for a further call, if that may still come."""
         now = self.loop.time()
-        idle = self.idle.setdefault(endpoint, [])
-        while idle and now - idle[0][1] >= self.keep_s:
+        while (idle := self.idle.get(endpoint)) and now - idle[0][1] >= self.keep_s:
             self.drop(endpoint, idle[0])
-        if sum(map(len, self.idle.values())) >= MOST_IDLE:
-            longest = min(
-                (name for name in self.idle if self.idle[name]), key=lambda name: self.idle[name][0][1]
-            )
-            self.drop(longest, self.idle[longest][0])
-        idle.append((connection, now))
-        self.loop.add_reader(connection.sock, self.drop, endpoint, idle[-1])
+        place = self.places.get(endpoint)
+        if place is None or place.state is not State.READY or place.address != connection.address:
+            self.close(connection)
+            return
+        entry = (connection, now)
+        self.idle.setdefault(endpoint, []).append(entry)
+        self.loop.add_reader(connection.sock, self.drop, endpoint, entry)
+
+    def unlist(self, endpoint: str, entry: tuple[Connection, float]) -> None:
+        self.loop.remove_reader(entry[0].sock)
+        self.idle[endpoint].remove(entry)
+        if not self.idle[endpoint]:
+            del self.idle[endpoint]
 
     def drop(self, endpoint: str, entry: tuple[Connection, float]) -> None:
         """Close an idle connection: it is too old, or its other side ended it or sent what nobody asked."""
-        self.idle[endpoint].remove(entry)
-        self.loop.remove_reader(entry[0].sock)
-        entry[0].close()
+        self.unlist(endpoint, entry)
+        self.close(entry[0])
 
     def hang_up(self, endpoint: str) -> None:
         for entry in list(self.idle.get(endpoint, ())):
             self.drop(endpoint, entry)
 
+    def close(self, connection: Connection) -> None:
+        connection.close()
+        self.connections -= 1
+
     async def connect(self, endpoint: str) -> Connection:
-        async with asyncio.timeout(self.settings.connect_timeout_ms / 1000.0):
-            return await Connection.open(self.places[endpoint].address)
+        if self.connections >= self.most:
+            if not self.idle:
+                raise NoRoom(f"{self.most} connections are open")
+            longest = min(self.idle, key=lambda name: self.idle[name][0][1])
+            self.drop(longest, self.idle[longest][0])
+        self.connections += 1
+        try:
+            async with asyncio.timeout(self.settings.connect_timeout_ms / 1000.0):
+                return await Connection.open(self.places[endpoint].address)
+        except BaseException:
+            self.connections -= 1
+            raise
 
     # Calls
 
     def send(self, endpoint: str, attempts: list[Attempt]) -> None:
         """Start the calls that one turn's attempts at an endpoint make."""
+        if endpoint not in self.places:  # it has just gone
+            for attempt in attempts:
+                self.report(Result(attempt, endpoint, Outcome.MOOT, 0.0))
+            return
         size = self.places[endpoint].batch
         for start in range(0, len(attempts), size):
             self.start(endpoint, attempts[start : start + size])
 
     def start(self, endpoint: str, attempts: list[Attempt]) -> None:
-        call = Call(endpoint, self.loop.time(), {(a.message, a.number): a for a in attempts})
+        open_ = {(a.message, a.number): a for a in attempts}
+        call = Call(endpoint, self.loop.time(), open_, [attempt.id for attempt in attempts])
         for key, attempt in call.open.items():
             self.calls[key] = call
             if len(attempts) > 1 and self.settings.second_copies:
                 call.timers.append(self.loop.call_at(attempt.stop_at, self.stop_waiting, call, attempt))
-        call.task = self.keep_task(self.run(call, attempts))
+        call.task = self.keep_task(endpoint, self.run(call, attempts))
 
-    def keep_task(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+    def keep_task(self, endpoint: str, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = self.loop.create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.busy[endpoint] += 1
+        task.add_done_callback(lambda task: self.task_done(endpoint, task))
         return task
 
+    def task_done(self, endpoint: str, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        self.busy[endpoint] -= 1
+        self.forget(endpoint)
+
     def stop_waiting(self, call: Call, attempt: Attempt) -> None:
         """One message's time in a batch is up; the others go on waiting, and the last ends the call."""
         if (attempt.message, attempt.number) in call.open and len(call.open) > 1:
@@ -199,56 +267,93 @@
         elif call.task is not None:
             call.task.cancel()
 
-    def end(
-        self, call: Call, attempt: Attempt, outcome: Outcome, over: bool = False, wait: float = 0.0
-    ) -> None:
+    def end(self, call: Call, attempt: Attempt, outcome: Outcome, over: bool = False) -> None:
         key = (attempt.message, attempt.number)
         if call.open.pop(key, None) is None:
             return
         del self.calls[key]
         took = (self.loop.time() - call.started) * 1000.0
-        self.report(Result(attempt, call.endpoint, outcome, took, wait, over))
+        self.report(Result(attempt, call.endpoint, outcome, took, call.wait, over, call.idled_ms, call.kept))
 
-    def end_all(self, call: Call, outcome: Outcome, over: bool = False, wait: float = 0.0) -> None:
+    def end_all(self, call: Call, outcome: Outcome, over: bool = False) -> None:
         for attempt in list(call.open.values()):
-            self.end(call, attempt, outcome, over, wait)
+            self.end(call, attempt, outcome, over)
 
     async def run(self, call: Call, attempts: list[Attempt]) -> None:
         """One call from its connection to its outcome; whatever goes wrong, each attempt gets one."""
-        connection = None
+        connection, ends = None, None
         stops = [attempt.stop_at for attempt in attempts]
         copies = len(attempts) == 1 or self.settings.second_copies
         broken = Outcome.RESET
         try:
-            async with asyncio.timeout_at(max(stops) if copies else min(stops)):
-                connection = self.take(call.endpoint) or await self.connect(call.endpoint)
-                connection.written = False
-                if not self.barred(call.endpoint):
-                    await self.request(connection, call, attempts)
-                    await self.answer(connection, call, len(attempts) > 1)
+            async with asyncio.timeout_at(max(stops) if copies else min(stops)) as limit:
+                connection = await self.connected(call)
+                if self.barred(call.endpoint):
+                    broken = Outcome.MOOT
                 else:
-                    self.end_all(call, Outcome.MOOT)
-                    self.put(call.endpoint, connection)
-                    connection = None
-                    return
-            if connection.next_cycle():
-                self.put(call.endpoint, connection)
-                connection = None
+                    connection.begun = lambda: self.hurry(limit)
+                    await self.request(connection, call, attempts)
+                    ends = await self.answer(connection, call)
         except TimeoutError:
             broken = Outcome.TIMEOUT
         except asyncio.CancelledError:
-            self.end_all(call, Outcome.CANCELLED)
-        except (OSError, h11.ProtocolError) as error:
+            broken = Outcome.CANCELLED
+        except NoRoom as error:
+            log.warning("not sent to %s: %s", call.endpoint, error)
+            broken = Outcome.MOOT
+        except h11.ProtocolError as error:
+            log.debug("the answer of %s is spoilt: %r", call.endpoint, error)
+            broken = Outcome.ERROR
+        except OSError as error:
             log.debug("call to %s broke: %r", call.endpoint, error)
         except Exception:
             log.exception("call to %s failed", call.endpoint)
         finally:
             for timer in call.timers:
                 timer.cancel()
-            written = connection is not None and connection.written
             if connection is not None:
-                connection.close()
-            self.end_all(call, broken if written else Outcome.CONNECT_FAILED)
+                self.leave(connection, call, broken)
+            if ends is not None:
+                for attempt in list(call.open.values()):
+                    self.end(call, attempt, *ends[attempt.id])
+            self.end_all(call, *self.broken(connection, call, broken))
+
+    async def connected(self, call: Call) -> Connection:
+        if taken := self.take(call.endpoint):
+            connection, idled = taken
+            call.idled_ms = max(idled * 1000.0, 1e-3)
+        else:
+            connection = await self.connect(call.endpoint)
+        connection.written, connection.head = False, b""
+        return connection
+
+    def hurry(self, limit: asyncio.Timeout) -> None:
+        """Guards against an answer that never ends."""
+        stop = limit.when()
+        assert stop is not None, "a call has a time to stop at"
+        limit.reschedule(min(stop, self.loop.time() + REST_S))
+
+    def leave(self, connection: Connection, call: Call, broken: Outcome) -> None:
+        """Keep the connection if its call has come to a clean end, or was never written."""
+        connection.begun = None
+        call.kept = connection.next_cycle() if connection.written else broken is Outcome.MOOT
+        if call.kept:
+            self.put(call.endpoint, connection)
+        else:
+            self.close(connection)
+
+    @staticmethod
+    def broken(connection: Connection | None, call: Call, broken: Outcome) -> tuple[Outcome, bool]:
+        """What became of a call that did not come to a clean end, and whether its messages are over."""
+        if broken is Outcome.MOOT:
+            return Outcome.MOOT, False
+        if connection is None or not connection.written:
+            return (broken if broken is Outcome.CANCELLED else Outcome.CONNECT_FAILED), False
+        if len(call.ids) == 1 and connection.delivered:
+            return Outcome.OK, True
+        if broken is Outcome.TIMEOUT and connection.head:
+            return Outcome.ERROR, False  # its answer began and did not end
+        return broken, False
 
     def barred(self, endpoint: str) -> bool:
         """Guards against a send that was decided before its connection came up: by then a wait may have been
@@ -266,44 +371,43 @@
             lines = (b"%s - %d\r\n%s\r\n" % (a.id, len(a.body), a.body) for a in attempts)
             await connection.send("POST", "/receive-many", headers, b"".join(lines))
 
-    async def answer(self, connection: Connection, call: Call, batch: bool) -> None:
+    async def answer(self, connection: Connection, call: Call) -> dict[bytes, tuple[Outcome, bool]]:
+        """How each message ended. Guards against spoilt answers: one counts when the whole of it is read."""
         response = await connection.response()
-        wait = told_wait(response)
-        if wait:
+        call.wait = told_wait(response)
+        if call.wait:
             lane = self.places[call.endpoint].lane
-            self.waits[lane] = max(self.waits.get(lane, 0.0), self.loop.time() + wait / 1000.0)
-        if not batch or response.status_code != 200:
-            self.end_all(call, *head_outcome(response), wait)
-            await connection.body(MOST_ANSWER)
-            return
-        lines = (await connection.body(MOST_ANSWER)).split(b"\r\n")
-        told = dict(line.split(b" ", 1) for line in lines if b" " in line)
-        for attempt in list(call.open.values()):
-            # What the answer leaves out, or tells in other words, may have run.
-            outcome, over = ENDS.get(told.get(attempt.id, b"").strip(), (Outcome.ERROR, False))
-            self.end(call, attempt, outcome, over, wait)
+            self.waits[lane] = max(self.waits.get(lane, 0.0), self.loop.time() + call.wait / 1000.0)
+        body = await connection.body(MOST_ANSWER)
+        if len(call.ids) > 1 and response.status_code == 200:
+            return batch_ends(body, call.ids)
+        return dict.fromkeys(call.ids, head_outcome(response))
 
     # Probes
 
     def probe(self, endpoint: str, report: Callable[[str, Outcome, float], None]) -> None:
-        self.keep_task(self.run_probe(endpoint, report))
+        if endpoint in self.places:
+            self.keep_task(endpoint, self.run_probe(endpoint, report))
+        else:
+            report(endpoint, Outcome.MOOT, 0.0)
 
     async def run_probe(self, endpoint: str, report: Callable[[str, Outcome, float], None]) -> None:
-        started, connection, outcome = self.loop.time(), None, Outcome.CONNECT_FAILED
+        call, connection, outcome = Call(endpoint, self.loop.time(), {}, []), None, Outcome.CONNECT_FAILED
         try:
             async with asyncio.timeout(self.settings.connect_timeout_ms / 1000.0):
-                connection = self.take(endpoint) or await self.connect(endpoint)
+                connection = await self.connected(call)
                 await connection.send("GET", "/alive", [])
-                outcome, _ = head_outcome(await connection.response())
+                outcome = Outcome.RESET
+                response = await connection.response()
                 await connection.body(MOST_ANSWER)
-            if connection.next_cycle():
-                self.put(endpoint, connection)
-                connection = None
+            outcome, _ = head_outcome(response)
         except TimeoutError:
             outcome = Outcome.TIMEOUT if connection is not None else outcome
-        except (OSError, h11.ProtocolError):
-            outcome = Outcome.RESET if connection is not None and connection.written else outcome
+        except (OSError, h11.ProtocolError) as error:
+            log.debug("probe of %s broke: %r", endpoint, error)
+        except Exception:
+            log.exception("probe of %s failed", endpoint)
         finally:
             if connection is not None:
-                connection.close()
-            report(endpoint, outcome, (self.loop.time() - started) * 1000.0)
+                self.leave(connection, call, outcome)
+            report(endpoint, outcome, (self.loop.time() - call.started) * 1000.0)
--- a/rushhitch/journal.py
+++ b/rushhitch/journal.py
@@ -26,6 +26,7 @@
 class Kept:
     """A message that was taken on and is not over, as far as the journal knows."""
 
+    number: int  # never used twice while the journal lasts: an id may be, when its first message has ended
     id: bytes
     cls: str
     destination: int
@@ -50,12 +51,12 @@
 
 
 class Journal:
-    """What is live (`live`, by id) and the file from which a later process learns the same."""
+    """What is live (`live`, by number) and the file from which a later process learns the same."""
 
     def __init__(self, folder: Path, disk_bytes: float) -> None:
         self.path, self.draft = folder / "journal", folder / "journal.new"
         self.disk_bytes = disk_bytes
-        self.live: dict[bytes, Kept] = {}
+        self.live: dict[int, Kept] = {}
         self.cold: dict[str, float] = {}  # endpoints in or after an outage, and the pace they took before
         self.live_bytes = 0
         self.lines: list[bytes] = []
@@ -67,28 +68,31 @@
     # What can happen to a message. Nothing is on disk before `flush`.
 
     def take(self, kept: Kept) -> None:
-        self.note("take", *self.taken(kept))
+        self.lines.append(self.line(*self.taken(kept)))
+        self.keep(kept)
 
-    def attempt(self, message: bytes, number: int, endpoint: str, at: float) -> None:
-        self.note("try", message.decode("latin-1"), number, endpoint, at)
+    def attempt(self, message: int, number: int, endpoint: str, at: float) -> None:
+        self.note("try", message, number, endpoint, at)
 
-    def outcome(self, message: bytes, number: int, may_have_run: bool) -> None:
-        self.note("got", message.decode("latin-1"), number, may_have_run)
+    def outcome(self, message: int, number: int, may_have_run: bool) -> None:
+        self.note("got", message, number, may_have_run)
 
-    def owe(self, message: bytes, result: str, wait_ms: float) -> None:
+    def owe(self, message: int, result: str, wait_ms: float) -> None:
         """The message has ended, and the platform must be told."""
-        self.note("owe", message.decode("latin-1"), result, wait_ms)
+        self.note("owe", message, result, wait_ms)
 
-    def end(self, message: bytes) -> None:
+    def end(self, message: int) -> None:
         """Nothing more is owed."""
-        self.note("end", message.decode("latin-1"))
+        self.note("end", message)
 
     def chill(self, endpoint: str, pace_per_s: float) -> None:
         """The decisions take the endpoint to be cold."""
         self.note("cold", endpoint, pace_per_s)
 
     def warm(self, endpoint: str) -> None:
-        self.note("warm", endpoint)
+        """It is warm, or gone."""
+        if endpoint in self.cold:
+            self.note("warm", endpoint)
 
     def has_room(self, body: int) -> bool:
         return self.live_bytes + RECORD_ROOM + body * 4 // 3 <= LIVE_SHARE * self.disk_bytes
@@ -113,16 +117,9 @@
 
     @staticmethod
     def taken(kept: Kept) -> tuple[Any, ...]:
-        body = base64.b64encode(kept.body).decode()
-        return (
-            kept.id.decode("latin-1"),
-            kept.cls,
-            kept.destination,
-            kept.deadline,
-            kept.key,
-            kept.again,
-            body,
-        )
+        name, body = kept.id.decode("latin-1"), base64.b64encode(kept.body).decode()
+        told = (name, kept.cls, kept.destination, kept.deadline, kept.key, kept.again, body)
+        return "take", kept.number, *told
 
     @staticmethod
     def line(*record: Any) -> bytes:
@@ -140,7 +137,11 @@
         self.lines.append(self.line(*record))
         self.apply(*record)
 
-    def apply(self, what: str, subject: str, *rest: Any) -> None:
+    def keep(self, kept: Kept) -> None:
+        self.live[kept.number] = kept
+        self.live_bytes += kept.size
+
+    def apply(self, what: str, subject: Any, *rest: Any) -> None:
         """Follow one record, new or replayed."""
         if what == "cold":
             self.cold[subject] = float(rest[0])
@@ -148,14 +149,12 @@
         if what == "warm":
             self.cold.pop(subject, None)
             return
-        name = subject.encode("latin-1")
         if what == "take":
-            cls, destination, deadline, key, again, body = rest
-            kept = Kept(name, cls, destination, deadline, base64.b64decode(body), key, again)
-            self.live[name] = kept
-            self.live_bytes += kept.size
+            name, cls, destination, deadline, key, again, body = rest
+            body = base64.b64decode(body)
+            self.keep(Kept(subject, name.encode("latin-1"), cls, destination, deadline, body, key, again))
             return
-        kept = self.live[name]
+        kept = self.live[subject]
         if what == "try":
             number, endpoint, at = rest
             kept.out[number] = (endpoint, at)
@@ -174,7 +173,7 @@
             kept.body = b""
             self.live_bytes += kept.size
         elif what == "end":
-            self.live_bytes -= self.live.pop(name).size
+            self.live_bytes -= self.live.pop(subject).size
         else:
             raise ValueError(f"it tells of {what!r}")
 
@@ -200,13 +199,12 @@
         """Write what is live into a new file and put that in the place of the old one."""
         lines = [self.line("cold", endpoint, pace) for endpoint, pace in self.cold.items()]
         for kept in self.live.values():
-            name = kept.id.decode("latin-1")
-            lines.append(self.line("take", *self.taken(kept)))
+            lines.append(self.line(*self.taken(kept)))
             if kept.attempts:
-                lines.append(self.line("sum", name, kept.attempts, kept.ran))
-            lines += (self.line("try", name, number, *where) for number, where in kept.out.items())
+                lines.append(self.line("sum", kept.number, kept.attempts, kept.ran))
+            lines += (self.line("try", kept.number, number, *where) for number, where in kept.out.items())
             if kept.notice:
-                lines.append(self.line("owe", name, *kept.notice))
+                lines.append(self.line("owe", kept.number, *kept.notice))
         data = b"".join(lines)
         fd = os.open(self.draft, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -21,6 +21,7 @@
 
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 OVERDUE_S = 0.1  # after its time is up, a message that the module has not ended is failed here
+LINGER_S = 60.0  # a destination with no endpoint left is known for so long: its next one may be on the way
 BUSY_MS = 500  # told to a client where the house or the journal is full
 
 
@@ -45,19 +46,21 @@
         settings: Settings,
         dispatcher: Dispatcher,
         journal: Journal,
-        notify: Callable[[bytes, str, float], None],
+        notify: Callable[[int, bytes, str, float], None],
+        connections: int = 256,
     ) -> None:
         self.settings, self.dispatcher, self.journal, self.notify = settings, dispatcher, journal, notify
         self.loop = asyncio.get_running_loop()
-        self.endpoints = Endpoints(settings, self.attempt_ended)
+        self.endpoints = Endpoints(settings, self.attempt_ended, connections)
         self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
         self.kinds = {kind.name: position for position, kind in enumerate(settings.kinds)}
         self.zones = {zone: position for position, zone in enumerate(settings.zones)}
         self.entries: dict[str, api.Entry] = {}
-        self.destinations: set[int] = set()
+        self.destinations: dict[int, float] = {}  # and when each last had an endpoint
         self.messages: dict[int, Message] = {}
         self.by_id: dict[bytes, Message] = {}
-        self.numbers = 0
+        self.numbers = max(journal.live, default=0)
+        self.reminder: asyncio.TimerHandle | None = None
         self.events: list[api.Event] = []
         self.fresh: list[Message] = []
         self.gathering = False
@@ -82,17 +85,25 @@
                 entries.append(self.entry(row))
             except (KeyError, TypeError, ValueError, AttributeError) as error:
                 log.warning("list: an entry is left out: %s: %s: %r", type(error).__name__, error, row)
+        gone = {entry.endpoint for entry in entries if entry.state is State.GONE}
         if kind is not api.ListKind.DELTA:
-            named = {entry.endpoint for entry in entries}
-            for name in self.endpoints.places.keys() - named:
-                self.endpoints.bar(name)
+            gone |= self.entries.keys() - {entry.endpoint for entry in entries}
+        for name in gone:
+            self.entries.pop(name, None)
+            self.endpoints.bar(name)
+        if kind is not api.ListKind.CACHED:  # what was known at the start may be old
+            for name in [name for name in self.journal.cold if name not in self.entries]:
+                self.journal.warm(name)
+        now = self.loop.time()
+        self.destinations |= dict.fromkeys((entry.destination for entry in self.entries.values()), now)
+        for destination in [d for d, at in self.destinations.items() if now - at > LINGER_S]:
+            del self.destinations[destination]
         self.note(api.Listed(kind, int(news.get("version", 0)), tuple(entries)))
 
     def entry(self, row: dict[str, Any]) -> api.Entry:
         state, known = STATES[row["state"]], self.entries.get(row["id"])
-        if state is State.GONE and known is not None:  # nothing else of it need be told
-            self.endpoints.bar(known.endpoint)
-            return replace(known, state=state)
+        if state is State.GONE:  # nothing else of it need be told
+            return replace(known, state=state) if known else api.Entry(str(row["id"]), 0, state=state)
         entry = api.Entry(
             str(row["id"]),
             int(row["cell"]),
@@ -106,7 +117,6 @@
         self.endpoints.place(
             entry.endpoint, Place(parse_address(row["addr"]), lane, int(kind.batch), entry.state)
         )
-        self.destinations.add(entry.destination)
         self.entries[entry.endpoint] = entry
         return entry
 
@@ -123,11 +133,20 @@
                 raise BadRequest("the id is that of a message which is being taken on")
             answer(b"+OK\r\n")  # it is taken on already, once
             return 0
-        deadline = time.time() + offer.left_ms / 1000.0
-        kept = Kept(offer.id, offer.cls, offer.destination, deadline, offer.body, offer.key, offer.again)
         if len(self.by_id) >= self.settings.max_held or not self.journal.has_room(len(offer.body)):
             answer(b"-BUSY %d\r\n" % BUSY_MS)
             return 0
+        self.numbers += 1
+        kept = Kept(
+            self.numbers,
+            offer.id,
+            offer.cls,
+            offer.destination,
+            time.time() + offer.left_ms / 1000.0,
+            offer.body,
+            offer.key,
+            offer.again,
+        )
         message = self.enter(kept, answer)
         self.fresh.append(message)
         self.note(
@@ -143,8 +162,7 @@
         return message.number
 
     def enter(self, kept: Kept, answer: Answer | None = None) -> Message:
-        self.numbers += 1
-        message = Message(self.numbers, kept, kept.attempts, answer)
+        message = Message(kept.number, kept, kept.attempts, answer)
         self.messages[message.number] = self.by_id[kept.id] = message
         left = max(kept.deadline - time.time(), 0.0)
         message.watchdog = self.loop.call_later(left + OVERDUE_S, self.overdue, message)
@@ -174,12 +192,12 @@
             self.note(api.Remembered(endpoint, pace_per_s))
         for kept in list(self.journal.live.values()):
             if kept.notice is not None:
-                self.notify(kept.id, *kept.notice)
+                self.notify(kept.number, kept.id, *kept.notice)
                 continue
             if kept.cls not in self.classes:
                 log.error("message %r is of class %r, which is gone: it is failed", kept.id, kept.cls)
-                self.journal.owe(kept.id, "dead", 0.0)
-                self.notify(kept.id, "dead", 0.0)
+                self.journal.owe(kept.number, "dead", 0.0)
+                self.notify(kept.number, kept.id, "dead", 0.0)
                 continue
             message = self.enter(kept)
             ran = kept.first_run
@@ -207,8 +225,12 @@
     def attempt_ended(self, result: Result) -> None:
         message = self.messages[result.attempt.message]
         message.out.discard(result.attempt.number)
-        if message.kept.id in self.journal.live and result.attempt.number in message.kept.out:
-            self.journal.outcome(message.kept.id, result.attempt.number, not result.outcome.never_ran)
+        if (
+            message.number in self.journal.live
+            and result.attempt.number in message.kept.out
+            and not result.over
+        ):
+            self.journal.outcome(message.number, result.attempt.number, not result.outcome.never_ran)
         if result.over:
             self.close(message)
         self.journal_flush()
@@ -221,6 +243,8 @@
                 result.took_ms,
                 message.over,
                 result.wait_ms,
+                result.idled_ms,
+                result.kept,
             )
         )
         self.forget(message)
@@ -248,10 +272,9 @@
         for message in fresh:
             if not message.over:
                 self.journal.take(message.kept)
-                message.kept = self.journal.live[message.kept.id]
         for endpoint, attempts in sends.items():
             for attempt in attempts:
-                self.journal.attempt(attempt.id, attempt.number, endpoint, time.time())
+                self.journal.attempt(attempt.message, attempt.number, endpoint, time.time())
         if not self.journal_flush():
             self.undo(fresh, sends)
             return
@@ -289,7 +312,9 @@
             case api.Cancel(number, attempt):
                 self.endpoints.cancel(number, attempt)
             case api.Remind(in_ms, token):
-                self.loop.call_later(in_ms / 1000.0, self.note, api.Reminded(token))
+                if self.reminder is not None:  # the module asks anew only for an earlier time
+                    self.reminder.cancel()
+                self.reminder = self.loop.call_later(in_ms / 1000.0, self.note, api.Reminded(token))
             case api.Probe(endpoint):
                 self.endpoints.probe(endpoint, self.probe_ended)
             case api.HangUp(endpoint):
@@ -318,9 +343,9 @@
                 answer(b"-BUSY %d\r\n" % wait_ms if wait_ms >= 1 else b"-BUSY\r\n")
             self.close(message)
             return
-        if message.kept.id in self.journal.live:
-            self.journal.owe(message.kept.id, result, wait_ms)
-        self.notify(message.kept.id, result, wait_ms)
+        if message.number in self.journal.live:
+            self.journal.owe(message.number, result, wait_ms)
+        self.notify(message.number, message.kept.id, result, wait_ms)
         self.close(message, noticed=True)
 
     def close(self, message: Message, noticed: bool = False) -> None:
@@ -330,8 +355,8 @@
         message.over = True
         if message.watchdog is not None:
             message.watchdog.cancel()
-        if not noticed and message.kept.id in self.journal.live:
-            self.journal.end(message.kept.id)
+        if not noticed and message.number in self.journal.live:
+            self.journal.end(message.number)
         self.by_id.pop(message.kept.id, None)
         self.forget(message)
         if not self.by_id:
@@ -341,9 +366,9 @@
         if message.over and not message.out:
             self.messages.pop(message.number, None)
 
-    def notice_heard(self, message: bytes) -> None:
-        if message in self.journal.live:
-            self.journal.end(message)
+    def notice_heard(self, number: int) -> None:
+        if number in self.journal.live:
+            self.journal.end(number)
             self.journal_flush()
 
     def journal_flush(self) -> bool:
