--- a/crowpier/interface.py
+++ b/crowpier/interface.py
@@ -246,6 +246,13 @@
     kept: bool | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Dropped:
+    """An idle connection to the endpoint has ended, and no `HangUp` asked for it."""
+
+    endpoint: str
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
     """A probe has its result."""
@@ -269,7 +276,7 @@
     message: int
 
 
-Event = Listed | Arrived | AttemptEnded | ProbeEnded | Reminded | Withdrawn | Remembered | Leaving
+Event = Listed | Arrived | AttemptEnded | Dropped | ProbeEnded | Reminded | Withdrawn | Remembered | Leaving
 
 
 # Actions
--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -27,6 +27,7 @@
 COLD_CONN_DISCOUNT = 0.05  # score given up where a connection must be opened: decides between equals only
 # Connections
 KEEP_CUT = 0.5  # of the idle time after which one failed: from then on idle ones are closed before
+KEEP_FULL = 0.4  # of the told idle time: tables that are full of idle ones are no reason to go under its half
 KEEP_LEAST = 0.01  # of the told idle time: never closed sooner
 KEEP_DOUBLES_MS = 15_000.0  # the time for which idle ones are kept doubles in this, up to the told one
 # Slots
@@ -46,8 +47,8 @@
 RETRY_CALLS = 0.25  # of a usual call: rest before the first further try, doubled with each
 REST_TOP_MS = 2_000.0  # no rest of our own is longer, a wanted time is of that order
 # Limits
-CUT = 0.7  # AIMD: a refusal above a limit takes the pace to this share of what was sent
-GROW_PER_S = 0.1  # AIMD: the pace regains this share of it each second
+CUT = 0.85  # AIMD: a refusal above a limit takes the pace to this share of what was sent
+GROW_PER_S = 0.5  # AIMD: the pace regains this share of it each second
 PACE_FLOOR_PER_S = 0.5  # the pace never falls under this, a limit below would be useless to anyone
 BURST_MS = 400.0  # worth of pace that may go at once
 FLOW_MS = 2_000.0  # memory of the pace that was sent
@@ -56,7 +57,7 @@
 JITTER = (0.75, 1.25)  # rests of our own are stretched by chance, so that dispatchers do not act in step
 WAIT_MARGIN_MS = 1.0  # added to a told wait, against rounding of the clock
 # Outages
-STRIKES = 4  # breaker: opens at so many, a refusal is one, any other failure two
+STRIKES = 4  # breaker: opens at so many; a refusal or a reset, which one connection meets, is one, else two
 RETURN_SHARE = 0.6  # of `fall_multiple` times the known pace: what a cold lane gets at most from us
 TRIAL_GAP_MS = 500.0  # times the dispatchers: the longest wait between calls to a cold endpoint
 # Held messages
@@ -257,6 +258,8 @@
             self.close(self.messages[event.message])
         elif isinstance(event, api.Reminded):
             self.wakes_at = math.inf  # a clock that rounds may wake us a trifle early
+        elif isinstance(event, api.Dropped) and event.endpoint in self.endpoints:
+            del self.endpoints[event.endpoint].idle[:1]
         elif isinstance(event, api.Remembered) and event.endpoint in self.endpoints:
             self.remembered(self.endpoints[event.endpoint], event.pace_per_s)
         elif isinstance(event, api.Leaving):
@@ -306,6 +309,7 @@
         del self.endpoints[endpoint.name]
         endpoint.lane.endpoints.remove(endpoint)
         endpoint.destination.endpoints.remove(endpoint)
+        endpoint.idle.clear()
 
     def enter(self, entry: api.Entry) -> None:
         if entry.kind >= len(self.settings.kinds) or entry.zone >= len(self.settings.zones):
@@ -462,7 +466,7 @@
             return
         call.judged = True
         if event.outcome is Outcome.CONNECT_FAILED and not call.endpoint.strikes:
-            self.distrust(self.keep_ms())
+            self.distrust(max(self.keep_ms(), KEEP_FULL * self.settings.conn_idle_ms))
         elif call.idle_ms and event.outcome in (Outcome.RESET, Outcome.TIMEOUT) and not self.lasts(call):
             self.distrust(call.idle_ms)
             return
@@ -492,8 +496,8 @@
         return min(grown, self.settings.conn_idle_ms)
 
     def lasts(self, call: Call) -> bool:
-        """Another call was answered meanwhile on a connection that had idled as long: it is not to blame."""
-        return self.proven >= call.idle_ms and self.proven_at >= call.sent_at
+        """Another call was answered of late on a connection that had idled as long: it is not to blame."""
+        return self.proven >= call.idle_ms and self.proven_at >= call.sent_at - FLOW_MS
 
     def distrust(self, idle_ms: float) -> None:
         self.keep = max(min(self.keep_ms(), KEEP_CUT * idle_ms), KEEP_LEAST * self.settings.conn_idle_ms)
@@ -530,9 +534,9 @@
         if outcome is Outcome.FULL:
             endpoint.lane.note_full(self.now, sent_at, told_wait, self.random.uniform(*JITTER))
         if sent_at >= endpoint.struck_at:
-            endpoint.strikes += 1 if outcome is Outcome.FULL else 2
+            endpoint.strikes += 1 if outcome in (Outcome.FULL, Outcome.RESET) else 2
             endpoint.struck_at = self.now
-        failing = endpoint.score < PRIOR and endpoint.strikes > 1  # one refusal proves no outage
+        failing = endpoint.score < PRIOR and endpoint.strikes > 2  # one refusal proves no outage
         if endpoint.strikes >= STRIKES or failing or told_wait > self.settings.fall_ms:
             self.trip(endpoint, sent_at)
 
--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -26,9 +26,11 @@
 log = logging.getLogger("rushhitch")
 
 ACCEPT_S = 0.6  # after SIGTERM: connections go on coming for a while
+FINISH_S = 2.0  # after SIGTERM: connections stay so long; their clients would crowd other dispatchers
 LEAVE_S = 3.3  # after SIGTERM: what is not over by then stays in the journal
 OWN_FILES = 48  # descriptors for the process itself, discovery, and connections that are being closed
 CLIENT_SHARE = 1 / 3  # of the descriptors: clients hold so many at most for requests
+BEGUN_SHARE = 0.1  # of the memory: requests that are half sent take so much at most
 SPARE_CLIENTS = 24  # beyond them, for those that come to be turned away
 
 
@@ -47,6 +49,7 @@
     seed: int
     sockets: int
     disk_bytes: float
+    memory_bytes: float
     known: dict[str, Any]
     settings: Settings
 
@@ -83,6 +86,9 @@
         except (ValueError, TypeError, AttributeError, KeyError) as error:
             raise BadConfiguration(f"ROUTER_CONFIG: {path}: {'.'.join(keys)}: {error}") from None
 
+    def megabytes(told: Any) -> float:
+        return float(told) * 1e6
+
     return Configuration(
         get(str, "name", variable="ROUTER_NAME"),
         get(parse_address, "listen", variable="ROUTER_LISTEN"),
@@ -90,7 +96,8 @@
         state,
         get(lambda text: int(text, 16), "seed"),
         get(int, "limits", "sockets"),
-        get(lambda megabytes: float(megabytes) * 1e6, "limits", "disk_mb"),
+        get(megabytes, "limits", "disk_mb"),
+        get(megabytes, "limits", "memory_mb"),
         get(known_list, "known"),
         get(lambda told: settings_of(json.dumps(told).encode()), "settings"),
     )
@@ -135,7 +142,7 @@
     platform = Platform(watch, notices)
     platform.start()
     reloading = loop.create_task(reload(changed, platform))
-    clients = Clients(node, most_clients)
+    clients = Clients(node, most_clients, int(BEGUN_SHARE * configuration.memory_bytes))
     try:
         await clients.listen(configuration.listen)
     except OSError as error:
@@ -149,6 +156,7 @@
     node.leaving(leave_at)
     await asyncio.sleep(ACCEPT_S)
     clients.stop_listening()
+    await asyncio.sleep(FINISH_S - ACCEPT_S)
     clients.finish()
     try:
         async with asyncio.timeout_at(leave_at):
@@ -175,8 +183,32 @@
         platform.move(address)
 
 
+class Throttle(logging.Filter):
+    """Guards against a log that a flood fills: so many lines a second from one place, and then a count."""
+
+    def __init__(self, most: int = 5) -> None:
+        super().__init__()
+        self.most = most
+        self.seen: dict[tuple[str, int], tuple[int, int]] = {}  # by place: the second, and the lines in it
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        place, second = (record.pathname, record.lineno), int(record.created)
+        since, count = self.seen.get(place, (second, 0))
+        if second > since:
+            if count > self.most:
+                record.msg = f"{record.getMessage()} (and {count - self.most} lines like it were left out)"
+                record.args = None
+            since, count = second, 0
+        self.seen[place] = (since, count + 1)
+        return count < self.most
+
+
 def main() -> int:
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(Throttle())
+    logging.basicConfig(
+        handlers=[handler], level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s"
+    )
     try:
         asyncio.run(serve(read_configuration(os.environ)))
     except BadConfiguration as error:
--- a/rushhitch/clients.py
+++ b/rushhitch/clients.py
@@ -172,6 +172,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.server.clients.pop(self, None)
+        self.server.begun -= self.framing.size
         if self.resting is not None:
             self.resting.cancel()
         for slot in self.slots:
@@ -183,9 +184,13 @@
         if self.deaf:
             return
         self.server.used(self)
-        if not self.framing.size:
+        before = self.framing.size
+        if not before:
             self.heard_at = self.loop.time()
         self.reader.feed(data[: self.framing.follow(data)])
+        self.server.begun += self.framing.size - before
+        if self.server.begun > self.server.most_begun:
+            self.framing.wrong = self.framing.wrong or "too many requests are half sent"
         if self.resting is None:
             self.serve()
 
@@ -308,8 +313,9 @@
 class Clients:
     """The listener and its connections."""
 
-    def __init__(self, taker: Taker, most: int) -> None:
-        self.taker, self.most = taker, most
+    def __init__(self, taker: Taker, most: int, most_begun: int = 100 * MOST_REQUEST) -> None:
+        self.taker, self.most, self.most_begun = taker, most, most_begun
+        self.begun = 0  # bytes of requests that are half sent: they take memory
         self.loop = asyncio.get_running_loop()
         self.clients: dict[Client, None] = {}  # in the order in which they were last heard
         self.accepted: set[asyncio.Task] = set()
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -124,8 +124,14 @@
 class Endpoints:
     """Carries out sends, cancels, probes and hang-ups; hands each result to `report`."""
 
-    def __init__(self, settings: Settings, report: Callable[[Result], None], most: int = 256) -> None:
-        self.settings, self.report = settings, report
+    def __init__(
+        self,
+        settings: Settings,
+        report: Callable[[Result], None],
+        dropped: Callable[[str], None] = lambda endpoint: None,
+        most: int = 256,
+    ) -> None:
+        self.settings, self.report, self.dropped = settings, report, dropped
         self.most = most  # connections, with a call or idle
         self.loop = asyncio.get_running_loop()
         self.places: dict[str, Place] = {}
@@ -142,7 +148,8 @@
         old = self.places.get(endpoint)
         self.places[endpoint] = place
         if place.state is not State.READY or (old is not None and old.address != place.address):
-            self.hang_up(endpoint)
+            for entry in list(self.idle.get(endpoint, ())):
+                self.drop(endpoint, entry)
 
     def bar(self, endpoint: str) -> None:
         """The endpoint is no longer listed."""
@@ -197,10 +204,12 @@
         """Close an idle connection: it is too old, or its other side ended it or sent what nobody asked."""
         self.unlist(endpoint, entry)
         self.close(entry[0])
+        self.dropped(endpoint)
 
     def hang_up(self, endpoint: str) -> None:
         for entry in list(self.idle.get(endpoint, ())):
-            self.drop(endpoint, entry)
+            self.unlist(endpoint, entry)
+            self.close(entry[0])
 
     def close(self, connection: Connection) -> None:
         connection.close()
--- a/rushhitch/journal.py
+++ b/rushhitch/journal.py
@@ -17,9 +17,9 @@
 
 log = logging.getLogger(__name__)
 
-COMPACT_SHARE = 1 / 3  # of the disk: a longer journal is written anew, with what is live only
-LIVE_SHARE = 1 / 4  # of the disk: what is live may take so much, so that old and new fit side by side
-RECORD_ROOM = 1_000  # bytes that a message's records take beyond its body, at most while it has few attempts
+COMPACT_SHARE = 0.5  # of the disk: a longer journal is written anew, with what is live only
+LIVE_SHARE = 0.4  # of the disk: what is live may take so much, so that old and new fit side by side
+RECORD_ROOM = 400  # bytes that a live message's records take beyond its body, written anew
 
 
 @dataclass(slots=True)
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -51,7 +51,7 @@
     ) -> None:
         self.settings, self.dispatcher, self.journal, self.notify = settings, dispatcher, journal, notify
         self.loop = asyncio.get_running_loop()
-        self.endpoints = Endpoints(settings, self.attempt_ended, connections)
+        self.endpoints = Endpoints(settings, self.attempt_ended, self.dropped, connections)
         self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
         self.kinds = {kind.name: position for position, kind in enumerate(settings.kinds)}
         self.zones = {zone: position for position, zone in enumerate(settings.zones)}
@@ -249,6 +249,9 @@
         )
         self.forget(message)
 
+    def dropped(self, endpoint: str) -> None:
+        self.note(api.Dropped(endpoint))
+
     # Actions
 
     def turn(self) -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -254,6 +254,23 @@
         assert [await client.line() for client in crowd[:50]] == [b""] * 50
 
 
+def test_requests_that_are_half_sent_take_no_more_memory_than_they_may():
+    @with_server()
+    async def _(server, taker):
+        server.most_begun = 100_000
+        half = [await connect(server) for _ in range(2)]
+        for client in half:
+            client.writer.write(b"*1\r\n$65000\r\n" + bytes(60_000))
+            while server.begun < 60_000:
+                await asyncio.sleep(0)
+        assert b"half sent" in await half[1].line() and await half[1].line() == b""
+        while server.begun > 100_000:
+            await asyncio.sleep(0)
+        half[0].writer.write(bytes(5_000) + b"\r\n")
+        assert (await half[0].line()).startswith(b"-ERR unknown command")
+        assert server.begun == 0
+
+
 def test_many_requests_at_once_are_served_in_turns_and_none_is_lost(monkeypatch):
     # Guards against one connection that holds up all others.
     monkeypatch.setattr(clients, "BURST", 4)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,13 +3,14 @@
 import asyncio
 import errno
 import json
+from collections import Counter, deque
 
 import pytest
 from doubles import Peer, Program, run
 
 from crowpier import Dispatcher
 from crowpier.benchlink import settings_of
-from crowpier.interface import Arrived, Remembered
+from crowpier.interface import Arrived, Listed, ListKind, Remembered
 from rushhitch import node as node_module
 from rushhitch.clients import Offer
 from rushhitch.journal import Journal
@@ -146,3 +147,103 @@
     async def _(bench):
         bench.node.listed({"version": 42, "full": full, "servers": [bench.row | {"id": "e2"}]})
         assert ("e1" in bench.node.endpoints.places) is not full
+
+
+def sizes(bench):
+    """Of every table of the node, its endpoints, its journal and the decisions."""
+    owners = (bench.node, bench.node.endpoints, bench.journal, bench.node.dispatcher)
+    tables = ((type(owner).__name__, name, value) for owner in owners for name, value in vars(owner).items())
+    return {
+        f"{owner}.{name}": len(table)
+        for owner, name, table in tables
+        if isinstance(table, (dict, list, set, deque))
+    }
+
+
+def test_nothing_grows_where_endpoints_ids_and_keys_are_ever_new(tmp_path, monkeypatch):
+    # Guards against memory that grows with each endpoint and message that has ever been.
+    monkeypatch.setattr(node_module, "LINGER_S", 0.0)
+
+    @with_bench(tmp_path)
+    async def _(bench):
+        for number in range(1000):
+            full = number % 2 == 0  # the one before is left out, or said to be deleted
+            row = bench.row | {"id": f"n{number}", "cell": 1000 + number}
+            gone = [] if full else [{"id": f"n{number - 1}", "state": "DELETED"}]
+            bench.node.listed({"version": number, "full": full, "servers": [row, *gone]})
+            bench.journal.chill(f"n{number}", 1.0)
+            bench.offer(Offer(b"m%d" % number, "note", 1000 + number, 6000.0, b"", key=number + 1))
+            bench.node.turn()
+            assert await bench.answers.get() == b"+OK\r\n"
+            (await bench.partner.next()).answer(200)
+            while bench.node.by_id:
+                await asyncio.sleep(0)
+        while bench.node.endpoints.tasks or bench.node.gathering:
+            await asyncio.sleep(0.001)
+        minute_later = bench.node.loop.time() * 1000.0 + 60_000.0
+        bench.node.dispatcher.handle(minute_later, [Listed(ListKind.DELTA, 1000)])
+        assert {name: size for name, size in sizes(bench).items() if size > 3} == {}
+
+
+def believed_and_held(bench):
+    """Calls out and idle connections of each endpoint, as the decisions believe and as the pool holds."""
+    decisions, pool = bench.node.dispatcher, bench.node.endpoints
+    calls = Counter(call.endpoint for call in pool.calls.values())
+    idle = sum(map(len, pool.idle.values()))
+    believed = {e.name: (len(e.calls), len(e.idle)) for e in decisions.endpoints.values()}
+    held = {name: (calls[name], len(pool.idle.get(name, ()))) for name in pool.places}
+    return (believed, decisions.used + idle), (held, pool.connections)
+
+
+@pytest.mark.parametrize(
+    ("what", "calls"),
+    [
+        ("answer", 0),
+        ("spoilt", 0),
+        ("reset", 0),
+        ("time-out", 0),
+        ("cancel", 0),
+        ("dropped", 0),
+        ("hang-up", 0),
+        ("move", 1),
+        ("removal", 1),
+    ],
+)
+def test_the_decisions_believe_of_calls_and_connections_what_the_pool_holds(tmp_path, what, calls):
+    @with_bench(tmp_path)
+    async def _(bench):
+        pool, decisions = bench.node.endpoints, bench.node.dispatcher
+        bench.offer(Offer(b"m1", "note", 7, 500.0 if what == "time-out" else 6000.0, b""))
+        first = await bench.partner.next()
+        bench.offer(Offer(b"m2", "note", 7, 6000.0, b""))
+        second = await bench.partner.next()
+        believed, held = believed_and_held(bench)
+        assert believed == held == ({"e1": (2, 0)}, 2)
+        second.answer(200)
+        match what:
+            case "answer" | "dropped" | "hang-up":
+                first.answer(200)
+            case "spoilt":
+                first.writer.write(b"\x00\r\n")
+            case "reset":
+                first.reset()
+            case "cancel":
+                pool.cancel(1, 0)
+        while len(pool.calls) > calls:
+            await asyncio.sleep(0.001)
+        match what:
+            case "dropped":
+                second.writer.close()
+                assert await second.ended()
+            case "hang-up":
+                decisions.distrust(1.0)
+                while pool.idle:
+                    await asyncio.sleep(0.01)
+                    bench.node.turn()
+            case "move":
+                bench.node.listed({"version": 42, "servers": [bench.row | {"addr": "127.0.0.1:9"}]})
+            case "removal":
+                bench.node.listed({"version": 42, "full": True, "servers": []})
+                first.answer(200)
+        while bench.node.gathering or len(set(map(str, believed_and_held(bench)))) > 1:
+            await asyncio.sleep(0.001)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import signal
 import socket
@@ -11,6 +12,8 @@
 import pytest
 from doubles import ROOT, Peer, Program, run
 
+from rushhitch.__main__ import Throttle
+
 
 def with_program(tmp_path, batch=1):
     """Runs a test's coroutine with a started program, and ends that whatever happens."""
@@ -252,6 +255,19 @@
         assert await program.process.wait() == 0
 
 
+def test_a_flood_of_like_lines_in_the_log_is_cut_short_and_counted():
+    throttle = Throttle(most=2)
+
+    def line(created):
+        record = logging.LogRecord("x", logging.INFO, "x.py", 7, "line %d", (1,), None)
+        record.created = created
+        return throttle.filter(record), record.getMessage()
+
+    assert [line(10.0)[0] for _ in range(5)] == [True, True, False, False, False]
+    assert line(11.5) == (True, "line 1 (and 3 lines like it were left out)")
+    assert line(11.6) == (True, "line 1")
+
+
 def start_with(environ):
     return subprocess.run(
         [sys.executable, "-m", "rushhitch"], cwd=ROOT, env=environ, capture_output=True, text=True, timeout=60
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -294,3 +294,25 @@
     assert len(slow) <= 4 and {message // 10 for message in slow} == {1, 2, 3}
     many(bed, 4, [41, 42, 43, 44])
     assert sum(message > 40 for message, _ in bed.out) == 4
+
+
+def test_resets_that_other_calls_are_spared_neither_trip_an_endpoint_nor_close_idle_connections():
+    # Guards against a network that resets some connections: it is no outage, and idling is not to blame.
+    bed = Bed(ONE)
+    for number in range(1, 13):
+        bed.arrive(number)
+        bed.pass_ms(50, timeouts=False)
+        bed.end(number, Outcome.RESET if number % 3 == 0 else Outcome.OK)
+        bed.pass_ms(5000, timeouts=False) if number % 3 == 0 else bed.pass_ms(150, timeouts=False)
+        for message, attempt in list(bed.out):
+            bed.end(message, Outcome.OK, attempt)
+    assert not bed.dispatcher.endpoints["one"].cold
+    assert bed.dispatcher.keep_ms() == bed.settings.conn_idle_ms
+
+
+def test_failed_connects_do_not_cut_the_keeping_of_connections_to_nothing():
+    bed = Bed(*(Entry(f"e{n}", n) for n in range(1, 9)))
+    for number in range(1, 9):
+        bed.arrive(number, destination=number)
+        bed.end(number, Outcome.CONNECT_FAILED)
+    assert bed.dispatcher.keep_ms() >= 0.2 * bed.settings.conn_idle_ms
