--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -57,7 +57,8 @@
 JITTER = (0.75, 1.25)  # rests of our own are stretched by chance, so that dispatchers do not act in step
 WAIT_MARGIN_MS = 1.0  # added to a told wait, against rounding of the clock
 # Outages
-STRIKES = 4  # breaker: opens at so many; a refusal or a reset, which one connection meets, is one, else two
+STRIKES = 4  # breaker: opens at so many; a failure is two, less where it may be the limit's or the network's
+STRIKE = {Outcome.FULL: 1.0, Outcome.RESET: 0.5}
 RETURN_SHARE = 0.6  # of `fall_multiple` times the known pace: what a cold lane gets at most from us
 TRIAL_GAP_MS = 500.0  # times the dispatchers: the longest wait between calls to a cold endpoint
 # Held messages
@@ -534,7 +535,7 @@
         if outcome is Outcome.FULL:
             endpoint.lane.note_full(self.now, sent_at, told_wait, self.random.uniform(*JITTER))
         if sent_at >= endpoint.struck_at:
-            endpoint.strikes += 1 if outcome in (Outcome.FULL, Outcome.RESET) else 2
+            endpoint.strikes += STRIKE.get(outcome, 2.0)
             endpoint.struck_at = self.now
         failing = endpoint.score < PRIOR and endpoint.strikes > 2  # one refusal proves no outage
         if endpoint.strikes >= STRIKES or failing or told_wait > self.settings.fall_ms:
--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -12,7 +12,7 @@
 READ_SIZE = 65_536
 MOST_FIRST_LINE = 1_024
 MOST_INTERIM = 20  # 1xx answers before the answer proper
-INTERIM, DELIVERED = re.compile(rb"HTTP/1\.[01] 1"), re.compile(rb"HTTP/1\.[01] 200(?!\d)")
+INTERIM, DELIVERED = re.compile(rb"HTTP/1\.[01] 1"), re.compile(rb"HTTP/1\.[01] 200( [^\n]*)?\r?\n")
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -87,7 +87,7 @@
 
     @property
     def delivered(self) -> bool:
-        """Whether the first line of the answer says 200."""
+        """Whether the first line of the answer says 200; one that was cut off says nothing."""
         return DELIVERED.match(self.head) is not None
 
     async def response(self) -> h11.Response:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -288,6 +288,8 @@
         (ENDLESS, Outcome.ERROR),
         (ENDLESS + bytes(100_000), Outcome.ERROR),
         (b"HTTP/1.1 2000 OK\r\n", Outcome.ERROR),
+        (b"HTTP/1.1 200", Outcome.ERROR),
+        (b"HTTP/1.1 200 O", Outcome.ERROR),
         (b"HTTP/1.1 503 x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", Outcome.ERROR),
     ],
 )
