The last message of a batch waits for its own time only

Cause, found by reading: Endpoints.stop_waiting left the last open message of a batch to the call's limit, which is the longest time of the batch; the watchdog ended it 0.1 s past its time. The test hangs on to 30 s without the change.

--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -264,8 +264,9 @@
 
     def stop_waiting(self, call: Call, attempt: Attempt) -> None:
         """One message's time in a batch is up; the others go on waiting, and the last ends the call."""
-        if (attempt.message, attempt.number) in call.open and len(call.open) > 1:
-            self.end(call, attempt, Outcome.TIMEOUT)
+        self.end(call, attempt, Outcome.TIMEOUT)
+        if not call.open and call.task is not None:
+            call.task.cancel()
 
     def cancel(self, message: int, number: int) -> None:
         call = self.calls.get((message, number))
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -429,6 +429,20 @@
         assert caller.results.empty()
 
 
+def test_the_last_message_of_a_batch_waits_for_its_own_time_only():
+    # Guards against a message that is held past its time because another of its batch had longer.
+    @with_caller(batch=20, second_copies=True)
+    async def _(caller):
+        now = asyncio.get_running_loop().time()
+        soon, late = (Attempt(n, 0, b"m%d" % n, b"", now + s) for n, s in ((1, 0.3), (2, 30.0)))
+        caller.endpoints.send("e1", [soon, late])
+        request = await caller.partner.next()
+        caller.endpoints.cancel(2, 0)
+        assert await caller.result() == (Outcome.CANCELLED, False, 0.0)
+        assert await asyncio.wait_for(caller.result(), 10.0) == (Outcome.TIMEOUT, False, 0.0)
+        assert await request.ended()
+
+
 def test_where_copies_are_forbidden_a_batch_ends_with_the_first_time_that_is_up():
     # Guards against a message that is tried again while its batch is still out on an open connection.
     @with_caller(batch=20, second_copies=False)
