A hung endpoint takes its own slots only: slow is judged by endpoint, not by destination

Now slow endpoints share that part; the destination's cap stays half while one of its endpoints is slow (design).

--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -32,7 +32,7 @@
 KEEP_DOUBLES_MS = 15_000.0  # the time for which idle ones are kept doubles in this, up to the told one
 # Slots
 DEST_SHARE = 0.75  # of the slots for one destination, from the design
-SICK_SHARE = 0.5  # of the slots while it fails or is slow, from the design
+SICK_SHARE = 0.5  # of the slots while it fails or is slow, from the design; and for all slow endpoints
 SLOW_CALL = 2.0  # a call out for more than this times its usual time is slow, from the design
 SILENT_CALL = 3.0  # with nothing answered for so many usual times, nothing more is sent
 # Times
@@ -224,7 +224,7 @@
         self.ends: list[tuple[float, int]] = []
         self.usual = [FIRST_USUAL * cls.aim_ms for cls in settings.classes]
         self.used = self.calls_made = 0
-        self.slow: set[Destination] = set()  # as of the latest dispatch
+        self.slow: set[Endpoint] = set()  # as of the latest dispatch
         self.wakes_at = self.leaves_at = math.inf
         self.parked: deque[tuple[float, Endpoint]] = deque()  # connections in the order of falling idle
         self.keep, self.keep_at = settings.conn_idle_ms, 0.0
@@ -680,7 +680,7 @@
             return max(at, endpoint.opens_at + (self.cold_gap(endpoint) if unsafe else 0.0))
         if endpoint.warm < 1.0:
             at = max(at, endpoint.opens_at)
-        return math.inf if self.silent(endpoint) else at
+        return math.inf if self.silent(endpoint) or self.no_slot(endpoint) else at
 
     def silent(self, endpoint: Endpoint) -> bool:
         """Guards against filling slots with calls to what hangs: the oldest call is long overdue and nothing
@@ -692,17 +692,23 @@
     # Sending
 
     def cap(self, destination: Destination) -> int:
-        """The bulkhead: slots that one destination may hold. Those that are slow share one part."""
-        if destination in self.slow:
-            others = sum(len(other.calls) for other in self.slow if other is not destination)
-            return max(int(self.settings.slots * SICK_SHARE) - others, 1)
-        failing = any(e.score_at(self.now) < PRIOR for e in destination.endpoints if e.state is State.READY)
-        return max(int(self.settings.slots * (SICK_SHARE if failing else DEST_SHARE)), 1)
-
-    def is_slow(self, destination: Destination) -> bool:
-        oldest = next(iter(destination.calls.values()), None)
+        """The bulkhead: slots that one destination may hold."""
+        ready = [e for e in destination.endpoints if e.state is State.READY]
+        sick = any(e in self.slow or e.score_at(self.now) < PRIOR for e in ready)
+        return max(int(self.settings.slots * (SICK_SHARE if sick else DEST_SHARE)), 1)
+
+    def is_slow(self, endpoint: Endpoint) -> bool:
+        oldest = next(iter(endpoint.calls.values()), None)
         return oldest is not None and self.now - oldest.sent_at > SLOW_CALL * oldest.usual
 
+    def no_slot(self, endpoint: Endpoint) -> bool:
+        """Slow endpoints share one part of the slots, with all destinations together. It guards against slots
+        that all wait for what is slow or hangs, and, as it goes by endpoint, against one that hangs while its
+        destination's others could take the messages. It hurts where one long call is taken for slowness."""
+        if endpoint not in self.slow:
+            return False
+        return sum(len(slow.calls) for slow in self.slow) >= int(self.settings.slots * SICK_SHARE)
+
     def urgency(self, message: Message) -> float:
         """Worth that waiting loses: grows as the aim comes near, then follows the worth that is left."""
         cls, call = message.cls, self.usual_call(message)
@@ -760,7 +766,7 @@
         """Send the most urgent messages while slots last."""
         choices = {}
         if self.used < self.settings.slots:
-            self.slow = {held for held in self.destinations.values() if self.is_slow(held)}
+            self.slow = {endpoint for endpoint in self.endpoints.values() if self.is_slow(endpoint)}
             bests = ((number, self.best_held(held)) for number, held in self.destinations.items())
             choices = {number: best for number, best in bests if best}
         while choices and self.used < self.settings.slots:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -22,10 +22,12 @@
 class Bench:
     """A node with one partner that the test plays; `ends` are its notices, `answers` what clients hear."""
 
-    async def start(self, folder):
+    async def start(self, folder, slots=None):
         program = Program(folder)
         program.partner = program.platform = self.partner = await Peer().start()
         config = program.config()
+        if slots is not None:
+            config["settings"]["familyInfo"]["workers"] = slots
         settings = settings_of(json.dumps(config["settings"]).encode())
         self.journal = Journal(folder / "state", 3e6)
         self.ends, self.answers = asyncio.Queue(), asyncio.Queue()
@@ -40,11 +42,19 @@
     def offer(self, offer=OFFER):
         self.node.offer(offer, self.answers.put_nowait)
 
+    async def add(self, endpoint, destination=7):
+        """One more endpoint, which the test plays."""
+        peer = await Peer().start()
+        addr = "{}:{}".format(*peer.address)
+        row = self.row | {"id": endpoint, "addr": addr, "cell": destination}
+        self.node.listed({"version": 42, "full": False, "servers": [row]})
+        return peer
 
-def with_bench(folder):
+
+def with_bench(folder, **told):
     def decorate(test):
         async def work():
-            await test(await Bench().start(folder))
+            await test(await Bench().start(folder, **told))
 
         run(work())
 
@@ -247,3 +257,21 @@
                 first.answer(200)
         while bench.node.gathering or len(set(map(str, believed_and_held(bench)))) > 1:
             await asyncio.sleep(0.001)
+
+
+def test_an_endpoint_that_hangs_does_not_hold_up_the_others_of_its_destination(tmp_path):
+    # Guards against one hung call that takes all slots of its destination, where others hang as well.
+    @with_bench(tmp_path, slots=4)
+    async def _(bench):
+        hung = [bench.partner, await bench.add("e2", destination=8)]
+        for destination in (7, 8):
+            bench.offer(Offer(b"first%d" % destination, "note", destination, 6000.0, b""))
+        calls = [await peer.next() for peer in hung]
+        well = [await bench.add("e3"), await bench.add("e4", destination=8)]
+        await asyncio.sleep(0.5)  # longer than twice a usual call
+        for destination in (7, 8):
+            bench.offer(Offer(b"next%d" % destination, "note", destination, 6000.0, b""))
+        for peer in well:
+            request = await peer.next()
+            assert request.headers["x-correlation-id"].startswith("next")
+        assert not any(call.over.is_set() for call in calls)  # these still hang
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,7 @@
 """The six rules, each by hand; `bed.Bed` asserts them from outside after every batch."""
 
+from collections import Counter
+
 import pytest
 from bed import CLASSES, KEYED, ORDERED, SAFE, UNSAFE, Bed
 
@@ -296,6 +298,19 @@
     assert sum(message > 40 for message, _ in bed.out) == 4
 
 
+def test_an_endpoint_that_hangs_leaves_the_slots_of_its_destination_to_those_that_answer():
+    # Guards against one hung endpoint that stops all messages of its destination, and of four others like it.
+    hung = [Entry(f"hung{n}", n) for n in range(1, 5)]
+    bed = Bed(*hung, slots=8)
+    for destination in range(1, 5):
+        many(bed, destination, [10 * destination])
+    bed.list(*hung, *(Entry(f"well{n}", n) for n in range(1, 5)), kind=ListKind.DELTA)
+    bed.pass_ms(500, timeouts=False)
+    for destination in range(1, 5):
+        many(bed, destination, [10 * destination + 1])
+    assert Counter(bed.out.values()) == Counter(f"{how}{n}" for how in ("hung", "well") for n in range(1, 5))
+
+
 def test_resets_that_other_calls_are_spared_neither_trip_an_endpoint_nor_close_idle_connections():
     # Guards against a network that resets some connections: it is no outage, and idling is not to blame.
     bed = Bed(ONE)
