--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -698,8 +698,13 @@
         return max(int(self.settings.slots * (SICK_SHARE if sick else DEST_SHARE)), 1)
 
     def is_slow(self, endpoint: Endpoint) -> bool:
+        """It has a slow call, or one of its destination's others has and it has not answered since."""
+        at = [call.sent_at for e in endpoint.destination.endpoints if (call := self.slow_call(e))]
+        return bool(at) and (endpoint.answered_at < max(at) or self.slow_call(endpoint) is not None)
+
+    def slow_call(self, endpoint: Endpoint) -> Call | None:
         oldest = next(iter(endpoint.calls.values()), None)
-        return oldest is not None and self.now - oldest.sent_at > SLOW_CALL * oldest.usual
+        return oldest if oldest and self.now - oldest.sent_at > SLOW_CALL * oldest.usual else None
 
     def no_slot(self, endpoint: Endpoint) -> bool:
         """Slow endpoints share one part of the slots, with all destinations together. It guards against slots
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -305,6 +305,10 @@
     for destination in range(1, 5):
         many(bed, destination, [10 * destination])
     bed.list(*hung, *(Entry(f"well{n}", n) for n in range(1, 5)), kind=ListKind.DELTA)
+    bed.pass_ms(5, timeouts=False)
+    for destination in range(1, 5):
+        many(bed, destination, [10 * destination + 2])
+        bed.end(10 * destination + 2, Outcome.OK)
     bed.pass_ms(500, timeouts=False)
     for destination in range(1, 5):
         many(bed, destination, [10 * destination + 1])
