--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -47,8 +47,9 @@
 RETRY_CALLS = 0.25  # of a usual call: rest before the first further try, doubled with each
 REST_TOP_MS = 2_000.0  # no rest of our own is longer, a wanted time is of that order
 # Limits
-CUT = 0.85  # AIMD: a refusal above a limit takes the pace to this share of what was sent
-GROW_PER_S = 0.5  # AIMD: the pace regains this share of it each second
+CUT = 0.85  # a refusal above a limit takes the pace to this share of what was sent
+GROW_PER_S = 0.5  # e-folds: the pace grows by so many each second without a refusal
+GROW_TOP = 20.0  # e-folds: it grows no further, against numbers out of range
 PACE_FLOOR_PER_S = 0.5  # the pace never falls under this, a limit below would be useless to anyone
 BURST_MS = 400.0  # worth of pace that may go at once
 FLOW_MS = 2_000.0  # memory of the pace that was sent
@@ -96,8 +97,10 @@
         self.sent, self.taken = Flow(FLOW_MS), Flow(PART_MS)
 
     def pace_at(self, now: float) -> float:
-        """Calls a second that may be sent: cut by refusals, growing with time since."""
-        return self.pace * (1.0 + GROW_PER_S * (now - self.cut_at) / 1000.0)
+        """Calls a second that may be sent: cut by refusals, growing by compound with time since. It guards
+        against a pace that was cut while a slow or full destination took little and binds long after. Near a
+        limit it is much like growth by a line; it hurts where a limit stays low: refusals come sooner."""
+        return self.pace * math.exp(min(GROW_PER_S * (now - self.cut_at) / 1000.0, GROW_TOP))
 
     def open_at(self, now: float) -> float:
         """When the next call may go, as far as waits and the pace have it."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -274,3 +274,18 @@
                 (await peer.next()).answer(200)
             await asyncio.sleep(rest)
         assert not any(call.over.is_set() for call in calls)  # these still hang
+
+
+def test_a_pace_that_one_refusal_cut_is_soon_no_hindrance(tmp_path):
+    # Guards against a limit that was none: a partner whose queue was full for a moment, or its connections.
+    @with_bench(tmp_path, slots=20)
+    async def _(bench):
+        bench.offer()
+        (await bench.partner.next()).answer(503)
+        (await bench.partner.next()).answer(200)
+        time = bench.node.loop.time
+        bench.node.loop.time = lambda: time() + 8.0
+        for number in range(8):
+            bench.offer(Offer(b"next%d" % number, "note", 7, 6000.0, b""))
+        await bench.partner.next()
+        assert len(bench.node.endpoints.calls) == 8
