Trips by a network's resets are no outage where the endpoint serves within a second; a lane's part is unbiased

Now: what failed by itself (500, time-out, shut) or served nothing for a second is cold as before. A told wait above fall_ms still trips: only shut partners tell such.

--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -53,6 +53,7 @@
 PACE_FLOOR_PER_S = 0.5  # the pace never falls under this, a limit below would be useless to anyone
 BURST_MS = 400.0  # worth of pace that may go at once
 FLOW_MS = 2_000.0  # memory of the pace that was sent
+FLOW_LEAST = 0.2  # of a memory: over a shorter time nothing is called a pace
 PART_MS = 30_000.0  # memory of the mean pace that a lane took from us, our part of what it can do
 PAUSE_MS = 500.0  # first pause after a refusal that tells no wait, doubled with each in a row
 JITTER = (0.75, 1.25)  # rests of our own are stretched by chance, so that dispatchers do not act in step
@@ -60,6 +61,8 @@
 # Outages
 STRIKES = 4  # breaker: opens at so many; a failure is two, less where it may be the limit's or the network's
 STRIKE = {Outcome.FULL: 1.0, Outcome.RESET: 0.5}
+BLINK_MS = 1_000.0  # outages last for seconds: what served so shortly before was not in one
+BLINK_TRIAL_MS = 250.0  # after a trip of what was warm the first trial comes so soon: it may be chance
 RETURN_SHARE = 0.6  # of `fall_multiple` times the known pace: what a cold lane gets at most from us
 TRIAL_GAP_MS = 500.0  # times the dispatchers: the longest wait between calls to a cold endpoint
 # Held messages
@@ -74,12 +77,15 @@
     """A decaying count of things per second."""
 
     def __init__(self, memory_ms: float) -> None:
-        self.memory, self.count, self.at = memory_ms, 0.0, 0.0
+        self.memory, self.count, self.at, self.since = memory_ms, 0.0, 0.0, math.inf
 
     def rate(self, now: float) -> float:
-        return self.count * math.exp((self.at - now) / self.memory) * 1000.0 / self.memory
+        """Over the time since the first of them, as long as that is shorter than the memory."""
+        seen = 1.0 - math.exp(-max((now - self.since) / self.memory, FLOW_LEAST))
+        return self.count * math.exp((self.at - now) / self.memory) * 1000.0 / (self.memory * seen)
 
     def add(self, now: float) -> None:
+        self.since = min(self.since, now)
         self.count = self.count * math.exp((self.at - now) / self.memory) + 1.0
         self.at = now
 
@@ -111,9 +117,10 @@
         self.sent.add(now)
         self.next_at = max(now, self.next_at) + 1000.0 / self.pace_at(now)
 
-    def note_taken(self, now: float) -> None:
+    def note_taken(self, now: float, cold: bool) -> None:
         self.fulls = 0
-        self.taken.add(now)
+        if not cold:  # what we send a cold endpoint is not what it can do, and must not chill the next return
+            self.taken.add(now)
 
     def part(self) -> float:
         """The pace that the lane took from us, as of the last call taken: an outage does not wear it down."""
@@ -148,6 +155,7 @@
         self.warm, self.warm_at = 1.0, 0.0
         self.tripped, self.opens_at, self.answered_at = False, -math.inf, -math.inf
         self.cold = False  # from its trip until it is warm again
+        self.served_at, self.blamed = -math.inf, False  # blamed: it failed since by its own doing
 
     def score_at(self, now: float) -> float:
         return PRIOR + (self.score - PRIOR) * math.exp((self.scored_at - now) / SCORE_AGE_MS)
@@ -532,54 +540,69 @@
             endpoint.answered_at = self.now
         if success:
             endpoint.strikes = 0
-            endpoint.lane.note_taken(self.now)
             self.recovered(endpoint)
+            endpoint.served_at, endpoint.blamed = self.now, False
+            endpoint.lane.note_taken(self.now, endpoint.cold)
             return
+        shut = told_wait > self.settings.fall_ms
+        endpoint.blamed |= shut or outcome in (Outcome.ERROR, Outcome.TIMEOUT)
         if outcome is Outcome.FULL:
             endpoint.lane.note_full(self.now, sent_at, told_wait, self.random.uniform(*JITTER))
         if sent_at >= endpoint.struck_at:
             endpoint.strikes += STRIKE.get(outcome, 2.0)
             endpoint.struck_at = self.now
         failing = endpoint.score < PRIOR and endpoint.strikes > 2  # one refusal proves no outage
-        if endpoint.strikes >= STRIKES or failing or told_wait > self.settings.fall_ms:
+        if endpoint.strikes >= STRIKES or failing or shut:
             self.trip(endpoint, sent_at)
 
     # Outages: a circuit breaker that opens on failures of any kind, tries one call at a time while half open
     # and then lets the endpoint warm up. It guards against pushing over what returns cold, and against
-    # feeding messages to what is down, shut or silent. It hurts where failures were chance.
+    # feeding messages to what is down, shut or silent. It hurts where failures were chance: where these were
+    # the network's and it serves again at once, it is as warm as it was. That hurts if it restarted at once.
 
     def trip(self, endpoint: Endpoint, sent_at: float) -> None:
         if endpoint.tripped and sent_at < endpoint.opens_at:
             return
+        gap = math.inf
         if not endpoint.cold:
-            endpoint.cold = True
+            endpoint.cold, gap = True, BLINK_TRIAL_MS
             self.actions.append(api.Remember(endpoint.name, True, endpoint.lane.part()))
-        endpoint.tripped, endpoint.warm = True, self.settings.cold_from
-        endpoint.opens_at = self.now + self.cold_gap(endpoint) * self.random.uniform(*JITTER)
+        endpoint.tripped = True
+        gap = min(self.cold_gap(endpoint), gap)
+        endpoint.opens_at = self.now + gap * self.random.uniform(*JITTER)
 
     def remembered(self, endpoint: Endpoint, pace: float) -> None:
         """Guards against a restart in mid-outage: what was cold before it is tried as if none had been."""
-        endpoint.lane.taken.count, endpoint.lane.taken.at = pace * PART_MS / 1000.0, self.now
+        taken = endpoint.lane.taken
+        taken.count, taken.at, taken.since = pace * PART_MS / 1000.0, self.now, -math.inf
         endpoint.cold = endpoint.tripped = True
         endpoint.warm, endpoint.opens_at = self.settings.cold_from, self.now
 
     def recovered(self, endpoint: Endpoint) -> None:
         if endpoint.tripped:
             endpoint.tripped, endpoint.strikes, endpoint.score = False, 0, max(endpoint.score, PRIOR)
-            endpoint.warm, endpoint.warm_at = self.settings.cold_from, self.now
-            endpoint.opens_at = self.now + self.cold_gap(endpoint)
+            if endpoint.blamed or self.now - endpoint.served_at > BLINK_MS:
+                endpoint.warm, endpoint.warm_at = self.settings.cold_from, self.now
+                endpoint.opens_at = self.now + self.cold_gap(endpoint)
+            elif endpoint.warm == 1.0:
+                self.warmed(endpoint)
 
     def warmth(self, endpoint: Endpoint) -> float:
         """The share of its capacity that a returned endpoint is sure to have by now."""
-        if endpoint.warm >= 1.0 or endpoint.tripped:
-            return endpoint.warm
+        if endpoint.tripped:
+            return self.settings.cold_from
+        if endpoint.warm == 1.0:
+            return 1.0
         grown = (1.0 - self.settings.cold_from) * (self.now - endpoint.warm_at)
         warm = min(endpoint.warm + grown / max(self.settings.warm_within_ms, 1.0), 1.0)
         if warm == 1.0:
-            endpoint.warm, endpoint.cold = 1.0, False
-            self.actions.append(api.Remember(endpoint.name, False))
+            self.warmed(endpoint)
         return warm
 
+    def warmed(self, endpoint: Endpoint) -> None:
+        endpoint.warm, endpoint.cold = 1.0, False
+        self.actions.append(api.Remember(endpoint.name, False))
+
     def cold_gap(self, endpoint: Endpoint) -> float:
         """Time between calls to an endpoint that is cold: our part of what it can do, as told or observed."""
         lane = endpoint.lane
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -289,3 +289,38 @@
             bench.offer(Offer(b"next%d" % number, "note", 7, 6000.0, b""))
         await bench.partner.next()
         assert len(bench.node.endpoints.calls) == 8
+
+
+async def served(bench, count):
+    for number in range(count):
+        bench.offer(Offer(b"well%d" % number, "note", 7, 6000.0, b""))
+        (await bench.partner.next()).answer(200)
+
+
+def test_a_few_resets_in_a_row_are_no_outage_where_it_serves_again_at_once(tmp_path):
+    # Guards against a network that resets: the partner was never down, and would be sent little for long.
+    @with_bench(tmp_path)
+    async def _(bench):
+        chilled = []
+        bench.journal.chill = lambda endpoint, pace: chilled.append(endpoint)
+        warmed = asyncio.Queue()
+        bench.journal.warm = warmed.put_nowait
+        await served(bench, 3)
+        while not chilled:
+            bench.offer(Offer(b"lost%d" % bench.node.numbers, "pay", 7, 24000.0, b""))
+            (await bench.partner.next()).reset()
+            await bench.ends.get()
+        await served(bench, 1)
+        assert await warmed.get() == "e1"
+        assert not bench.node.dispatcher.endpoints["e1"].cold
+
+
+def test_what_an_endpoint_took_is_measured_over_the_time_it_was_seen(tmp_path):
+    # Guards against a pace that counts the time before the start: a cold partner would be sent too little.
+    @with_bench(tmp_path)
+    async def _(bench):
+        await served(bench, 10)
+        bench.offer()
+        while "e1" not in bench.journal.cold:
+            (await bench.partner.next()).answer(500)
+        assert bench.journal.cold["e1"] > 1.0  # calls a second: ten within much less than ten seconds
