The last byte of a request waits until the connection is seen up: dead ones cost no unsafe message

Now all but the last byte goes out first, and after twice the time of the connect (2 ms at least) the rest. A kept connection that is dead by then costs nothing, the call takes another; a new one is a failed connect, which proves that nothing ran (and is one strike in place of two, since it may be the network's). Tried and out: blaming idling no more for resets that come after this look.

--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -60,7 +60,7 @@
 WAIT_MARGIN_MS = 1.0  # added to a told wait, against rounding of the clock
 # Outages
 STRIKES = 4  # breaker: opens at so many; a failure is two, less where it may be the limit's or the network's
-STRIKE = {Outcome.FULL: 1.0, Outcome.RESET: 0.5}
+STRIKE = {Outcome.FULL: 1.0, Outcome.CONNECT_FAILED: 1.0, Outcome.RESET: 0.5}
 BLINK_MS = 1_000.0  # outages last for seconds: what served so shortly before was not in one
 BLINK_TRIAL_MS = 250.0  # after a trip of what was warm the first trial comes so soon: it may be chance
 RETURN_SHARE = 0.6  # of `fall_multiple` times the known pace: what a cold lane gets at most from us
--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -12,6 +12,13 @@
 READ_SIZE = 65_536
 MOST_FIRST_LINE = 1_024
 MOST_INTERIM = 20  # 1xx answers before the answer proper
+LOOK_S, LOOK_TOP_S = (
+    0.002,
+    0.05,
+)  # before a request's last byte, the connection is watched for at least, at most
+LOOK_CONNECTS = (
+    2.0  # times what it took to come up: what went out has reached the other side, and word of it us
+)
 INTERIM, DELIVERED = re.compile(rb"HTTP/1\.[01] 1"), re.compile(rb"HTTP/1\.[01] 200( [^\n]*)?\r?\n")
 Headers = list[tuple[bytes, bytes]]
 
@@ -28,8 +35,9 @@
     """Sends requests one at a time. `written` says whether the last byte of the newest one has gone out,
     `head` how its answer begins, past any 1xx."""
 
-    def __init__(self, sock: socket.socket, address: tuple[str, int]) -> None:
+    def __init__(self, sock: socket.socket, address: tuple[str, int], came_up_s: float = 0.0) -> None:
         self.sock, self.address, self.http = sock, address, h11.Connection(h11.CLIENT)
+        self.look_s = min(max(LOOK_CONNECTS * came_up_s, LOOK_S), LOOK_TOP_S)
         self.loop = asyncio.get_running_loop()
         self.written, self.head, self.interim = False, b"", 0
         self.begun: Callable[[], None] | None = None  # called as an answer proper begins
@@ -37,18 +45,27 @@
     @classmethod
     async def open(cls, address: tuple[str, int]) -> Connection:
         """Connect, for as long as the caller lets it."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await asyncio.get_running_loop().sock_connect(sock, address)
+            await loop.sock_connect(sock, address)
         except BaseException:
             sock.close()
             raise
-        return cls(sock, address)
+        return cls(sock, address, loop.time() - started)
 
-    async def send(self, method: str, target: str, headers: Headers, body: bytes = b"") -> None:
-        """Write a whole request; it has not been sent if this raises."""
+    async def send(
+        self, method: str, target: str, headers: Headers, body: bytes = b"", look: bool = False
+    ) -> None:
+        """Write a whole request; it has not been sent if this raises.
+
+        With `look` the last byte waits a moment. It guards against connections that are dead without our
+        knowing, dropped as idle or reset as the request comes in: without its last byte the request cannot
+        have run, and even one that must not run twice may be sent anew. It costs each request that moment.
+        """
         self.written, self.head, self.interim = False, b"", 0
         headers = [(b"Host", "{}:{}".format(*self.address).encode()), *headers]
         if method == "POST":
@@ -57,9 +74,30 @@
         if body:
             parts.append(self.http.send(h11.Data(data=body)))
         parts.append(self.http.send(h11.EndOfMessage()))
-        await self.loop.sock_sendall(self.sock, b"".join(part for part in parts if part))
+        data = b"".join(part for part in parts if part)
+        if look:
+            await self.loop.sock_sendall(self.sock, data[:-1])
+            await self.still_up()
+            data = data[-1:]
+        await self.loop.sock_sendall(self.sock, data)
         self.written = True
 
+    async def still_up(self) -> None:
+        """Watch the connection for a moment; raise if it ends."""
+        stirred = self.loop.create_future()
+        timer = self.loop.call_later(self.look_s, lambda: stirred.done() or stirred.set_result(None))
+        self.loop.add_reader(self.sock, lambda: stirred.done() or stirred.set_result(None))
+        try:
+            await stirred
+        finally:
+            timer.cancel()
+            self.loop.remove_reader(self.sock)
+        try:
+            if not self.sock.recv(1, socket.MSG_PEEK):
+                raise ConnectionResetError("the connection ended before its request was written")
+        except BlockingIOError:
+            pass
+
     async def event(self) -> h11.Response | h11.Data | h11.EndOfMessage:
         """The next part of the answer; an early end of the connection is a `ConnectionResetError`."""
         while True:
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -297,12 +297,21 @@
         broken = Outcome.RESET
         try:
             async with asyncio.timeout_at(max(stops) if copies else min(stops)) as limit:
-                connection = await self.connected(call)
-                if self.barred(call.endpoint):
-                    broken = Outcome.MOOT
-                else:
+                while connection is None:
+                    connection = await self.connected(call)
+                    if self.barred(call.endpoint):
+                        broken = Outcome.MOOT
+                        break
                     connection.begun = lambda: self.hurry(limit)
-                    await self.request(connection, call, attempts)
+                    try:
+                        await self.request(connection, call, attempts)
+                    except OSError:
+                        if not call.idled_ms:
+                            raise
+                        self.close(connection)  # it had died unseen: the call takes another
+                        self.dropped(call.endpoint)
+                        connection = None
+                else:
                     ends = await self.answer(connection, call)
         except TimeoutError:
             broken = Outcome.TIMEOUT
@@ -333,6 +342,7 @@
             connection, idled = taken
             call.idled_ms = max(idled * 1000.0, 1e-3)
         else:
+            call.idled_ms = 0.0
             connection = await self.connect(call.endpoint)
         connection.written, connection.head = False, b""
         return connection
@@ -376,10 +386,10 @@
         headers = [(b"X-Time-Left-Ms", b"%d" % max(left * 1000.0, 1.0))]
         if len(attempts) == 1:
             headers.append((b"X-Correlation-Id", attempts[0].id))
-            await connection.send("POST", "/receive", headers, attempts[0].body)
+            await connection.send("POST", "/receive", headers, attempts[0].body, look=True)
         else:
             lines = (b"%s - %d\r\n%s\r\n" % (a.id, len(a.body), a.body) for a in attempts)
-            await connection.send("POST", "/receive-many", headers, b"".join(lines))
+            await connection.send("POST", "/receive-many", headers, b"".join(lines), look=True)
 
     async def answer(self, connection: Connection, call: Call) -> dict[bytes, tuple[Outcome, bool]]:
         """How each message ended. Guards against spoilt answers: one counts when the whole of it is read."""
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -8,7 +8,7 @@
 from doubles import Peer, run
 
 from crowpier.interface import Outcome, State
-from rushhitch import endpoints
+from rushhitch import connection, endpoints
 from rushhitch.endpoints import Attempt, Endpoints, Place
 
 
@@ -92,6 +92,47 @@
         assert await caller.result() == (Outcome.CONNECT_FAILED, False, 0.0)
 
 
+LONG_S = 20.0  # a look that ends with the break it waits for, or fails the test
+
+
+def test_a_reset_while_the_request_comes_in_proves_that_nothing_ran(monkeypatch):
+    # Guards against losing an unsafe message to a network that resets: its request was never whole.
+    monkeypatch.setattr(connection, "LOOK_S", LONG_S)
+    monkeypatch.setattr(connection, "LOOK_TOP_S", LONG_S)
+
+    async def reset(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.transport.abort()
+
+    @with_caller()
+    async def _(caller):
+        server = await asyncio.start_server(reset, "127.0.0.1", 0)
+        caller.list(server.sockets[0].getsockname())
+        caller.send(1)
+        assert await caller.result() == (Outcome.CONNECT_FAILED, False, 0.0)
+
+
+def test_a_call_on_a_connection_that_had_died_unseen_goes_on_another():
+    # Guards against connections that the other side, or what stands between, dropped as idle without a word.
+    async def drops(reader, writer):
+        await reader.readuntil(b"hello")
+        writer.write(b"HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n")
+        await reader.read(1)  # of the next request
+        writer.transport.abort()
+
+    @with_caller()
+    async def _(caller):
+        server = await asyncio.start_server(drops, "127.0.0.1", 0)
+        caller.list(server.sockets[0].getsockname())
+        caller.endpoints.dropped = (dropped := []).append
+        for message in (1, 2):
+            caller.send(message)
+            assert await caller.result() == (Outcome.OK, True, 0.0)
+            for idle, _ in caller.endpoints.idle["e1"]:
+                idle.look_s = LONG_S
+        assert dropped == ["e1"] and caller.endpoints.connections == 1
+
+
 def test_a_break_after_the_last_byte_may_have_run():
     @with_caller()
     async def _(caller):
