--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -18,7 +18,6 @@
 
 MOST_ANSWER = 65_536
 REST_S = 0.5  # an answer that has begun comes to its end in that time, or it is spoilt
-BATCH_MARGIN_S = 0.1  # a client's message is so much older than we know, at most: it waited on its way here
 IDLE_MARGIN = 0.1  # of the idle time of connections: so long before its end one is not used any more
 ENDS = {  # of a message in a batch: its outcome, and whether the message is over
     b"accepted": (Outcome.OK, True),
@@ -281,12 +280,11 @@
     async def run(self, call: Call, attempts: list[Attempt]) -> None:
         """One call from its connection to its outcome; whatever goes wrong, each attempt gets one."""
         connection, ends = None, None
-        stops = [attempt.stop_at for attempt in attempts]
         broken = Outcome.RESET
         try:
             # A batch ends as a whole with the first time that is up: once one of its messages is given up, no
             # answer proves anything for the others, and to wait on would hold the slot for nothing.
-            async with asyncio.timeout_at(self.stop(stops)) as limit:
+            async with asyncio.timeout_at(min(attempt.stop_at for attempt in attempts)) as limit:
                 while connection is None:
                     connection = await self.connected(call)
                     if self.barred(call.endpoint):
@@ -325,12 +323,6 @@
                     self.end(call, attempt, *ends[attempt.id])
             self.end_all(call, *self.broken(connection, call, broken))
 
-    def stop(self, stops: list[float]) -> float:
-        """When a call ends whose messages may be waited for so long. Guards against an answer to a batch that
-        comes when one of its messages is out of time to the other side, which began to count earlier."""
-        first, now = min(stops), self.loop.time()
-        return first if len(stops) == 1 else max(first - BATCH_MARGIN_S, (first + now) / 2.0)
-
     async def connected(self, call: Call) -> Connection:
         if taken := self.take(call.endpoint):
             connection, idled = taken
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -26,6 +26,7 @@
 
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 OVERDUE_S = 0.1  # after its time is up, a message that the module has not ended is failed here
+ANSWER_MARGIN_S = 0.1  # a client's message is so much older than we know, at most: it waited on its way here
 LINGER_S = 60.0  # a destination with no endpoint left is known for so long: its next one may be on the way
 BUSY_MS = 500  # told to a client where the house or the journal is full
 RETRY_S = 0.25  # between two tries to write what a full disk did not take
@@ -38,6 +39,7 @@
     number: int
     kept: Kept
     attempts: int
+    due: float  # when its time is up, by the clock of the event loop, in seconds
     answer: Answer | None = None
     over: bool = False
     out: set[int] = field(default_factory=set)
@@ -182,10 +184,10 @@
         return message.number
 
     def enter(self, kept: Kept, answer: Answer | None = None) -> Message:
-        message = Message(kept.number, kept, kept.attempts, answer)
+        due = self.loop.time() + max(kept.deadline - time.time(), 0.0)
+        message = Message(kept.number, kept, kept.attempts, due, answer)
         self.messages[message.number] = self.by_id[kept.id] = message
-        left = max(kept.deadline - time.time(), 0.0)
-        message.watchdog = self.loop.call_later(left + OVERDUE_S, self.overdue, message)
+        message.watchdog = self.loop.call_at(due + OVERDUE_S, self.overdue, message)
         self.idle.clear()
         return message
 
@@ -244,6 +246,8 @@
 
     def attempt_ended(self, result: Result) -> None:
         message = self.messages[result.attempt.message]
+        if result.over and self.loop.time() >= message.due:  # the client's time was up: it proves nothing
+            result = replace(result, outcome=Outcome.TIMEOUT, over=False)
         message.out.discard(result.attempt.number)
         if self.counts is not None:
             now = self.loop.time() * 1000.0
@@ -363,7 +367,7 @@
                 message.attempts += 1
                 message.out.add(attempt)
                 sends.setdefault(endpoint, []).append(
-                    Attempt(number, attempt, kept.id, kept.body, stop_at_ms / 1000.0)
+                    Attempt(number, attempt, kept.id, kept.body, self.stop(message, stop_at_ms / 1000.0))
                 )
             case api.Fail(number):
                 self.answer_end(self.messages[number], "dead", 0.0)
@@ -391,6 +395,12 @@
             case api.Log(text):
                 log.info("module: %s", text)
 
+    def stop(self, message: Message, stop_at: float) -> float:
+        """How long a call is waited for. Guards against an answer that is believed here when to the client,
+        whose time began earlier, the message was over: it ends as neither delivered nor failed."""
+        now = self.loop.time()
+        return min(stop_at, max(message.due - ANSWER_MARGIN_S, (message.due + now) / 2.0))
+
     def probe_ended(self, endpoint: str, outcome: Outcome, took_ms: float) -> None:
         self.note(api.ProbeEnded(endpoint, outcome, took_ms))
 
