--- a/lab/planning.py
+++ b/lab/planning.py
@@ -263,6 +263,10 @@
         if planner is None:
             return
         answer = planner.handle(self.now, report)
+        for grant in answer.grants:  # a planner may crash before the next sample
+            limits, per_s = self.held_limits[grant.lane], planner.lanes[grant.lane].limit.per_s
+            if per_s < math.inf and (not limits or limits[-1][1] != per_s):
+                limits.append((self.now, per_s))
         self.deliver(self.granted, forwarder, answer)
 
     def granted(self, forwarder: Forwarder, answer) -> None:
--- a/lab/ways.py
+++ b/lab/ways.py
@@ -45,7 +45,7 @@
         self.pairs: set[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.late_until = {UP: 0.0, DOWN: 0.0}
-        self.passed = self.repeated = self.reordered = self.refused = 0
+        self.passed = self.repeated = self.reordered = self.refused = self.carried = 0
 
     async def start(self) -> int:
         """Listen; the port that the forwarder is told."""
@@ -113,6 +113,7 @@
     def deliver(self, sink: asyncio.StreamWriter, direction: str, data: bytes, shake: bool) -> None:
         faults, loop = self.faults, asyncio.get_running_loop()
         self.passed += 1
+        self.carried += len(data)  # bytes
         at = loop.time() + self.chance.uniform(0.0, faults.late_ms) / 1000.0
         if not shake and self.chance.random() < faults.reorder:
             self.reordered += 1
--- /dev/null
+++ b/rushhitch/cloudevents/mapping.py
@@ -0,0 +1,96 @@
+"""What an event means to the core: class, destination, time left, key of order and identity. Pure.
+
+The event's `type` gives the class, one attribute the destination, `expirytime` the deadline (never a longer
+one than the class has), `partitionkey` the key of order (CloudEvents extensions "expirytime" and
+"partitioning").
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from rushhitch.cloudevents.events import BadEvent, Event, moment
+
+EXPIRY, KEY = "expirytime", "partitionkey"
+IDENTITY_BYTES = 16  # of a digest: by chance two are alike once in 2^64 events
+REST = ".*"  # a type that ends so stands for all that begin like it
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """Set by configuration. `classes`: class by type; `destinations`: number by value of the attribute
+    `destination`, or the value is the number where it is empty; `most_ms`: the deadline by class, and
+    `usual_ms` a shorter one for events that tell none."""
+
+    classes: Mapping[str, str]
+    most_ms: Mapping[str, float]
+    destination: str = "subject"
+    destinations: Mapping[str, int] = field(default_factory=dict)
+    usual_ms: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """An event as the core sees it. `id` is the same for the same source and id, at any dispatcher."""
+
+    id: bytes
+    cls: str
+    destination: int
+    left_ms: float
+    key: int
+
+
+def placed(event: Event, mapping: Rules, now: float) -> Placed:
+    """`now` is Unix time in seconds. Raises a `BadEvent` that names the attribute."""
+    cls = class_of(event.text("type"), mapping.classes)
+    return Placed(
+        digest("\0".join(event.identity)).hex().encode(),
+        cls,
+        destination_of(event, mapping),
+        left_of(event, mapping, cls, now),
+        int.from_bytes(digest(event.text(KEY)), "big") if KEY in event.attributes else 0,
+    )
+
+
+def digest(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=IDENTITY_BYTES).digest()
+
+
+def class_of(kind: str, classes: Mapping[str, str]) -> str:
+    """By the whole type, or by the longest beginning that is set."""
+    if kind in classes:
+        return classes[kind]
+    fits = [name for name in classes if name.endswith(REST) and kind.startswith(name.removesuffix("*"))]
+    if not fits:
+        raise BadEvent(
+            f"no class is set for type {kind[:80]!r}: use one of {', '.join(sorted(classes))}", "type"
+        )
+    return classes[max(fits, key=len)]
+
+
+def destination_of(event: Event, mapping: Rules) -> int:
+    name = mapping.destination
+    if name not in event.attributes:
+        raise BadEvent(f"{name} is missing: it tells the destination", name)
+    value = event.text(name)
+    if not mapping.destinations:
+        if re.fullmatch(r"[0-9]{1,15}", value):
+            return int(value)
+        raise BadEvent(f"{name} must be the number of a destination, not {value[:80]!r}", name)
+    if value not in mapping.destinations:
+        raise BadEvent(f"{name}: no destination is called {value[:80]!r}", name)
+    return mapping.destinations[value]
+
+
+def left_of(event: Event, mapping: Rules, cls: str, now: float) -> float:
+    """Milliseconds that the event may still be delivered."""
+    most = mapping.most_ms[cls]
+    if EXPIRY not in event.attributes:
+        return min(mapping.usual_ms.get(cls, most), most)
+    left = (moment(event.text(EXPIRY)).timestamp() - now) * 1000.0
+    if left < 1.0:
+        raise BadEvent(f"{EXPIRY}: {event.text(EXPIRY)} has passed", EXPIRY)
+    return min(left, most)
--- a/rushhitch/planning/client.py
+++ b/rushhitch/planning/client.py
@@ -140,9 +140,8 @@
         elapsed, self.reported_at = (now - self.reported_at) * 1000.0, now
         lanes = self.collect(elapsed)
         for lane in lanes:
-            lane.holding, lane.planner, lane.term, lane.seq, lane.limit = self.guidance.holding(
-                now * 1000.0, lane.lane
-            )
+            held = self.guidance.holding(now * 1000.0, lane.lane)
+            lane.holding, lane.planner, lane.term, lane.seq, lane.limit, lane.freed = held
         heard = [link.name for link in self.links if now - link.answered_at < HEARD_S]
         self.number += 1
         report = Report(self.name, self.number, elapsed, heard, lanes)
--- a/rushhitch/planning/guidance.py
+++ b/rushhitch/planning/guidance.py
@@ -61,6 +61,10 @@
     def live(self, now: float) -> bool:
         return now - self.asked_at < self.grant.lease_ms
 
+    def freed(self, now: float) -> bool:
+        """Whether no planner reckons with it any more."""
+        return not self.grant.counts or now - self.asked_at >= self.grant.lease_ms + self.grant.safe_ms
+
 
 @dataclass(slots=True)
 class LaneGuidance:
@@ -126,7 +130,7 @@
         """Of that, what a planner reckons with: 0 past the safe time, when the bound goes its own way."""
         lane = self.lanes.get(name)
         newest = lane.newest() if lane else None
-        if newest is None or now - newest.asked_at >= newest.grant.lease_ms + newest.grant.safe_ms:
+        if newest is None or newest.freed(now):
             return 0.0
         return self.bound(now, name)
 
@@ -154,14 +158,17 @@
                     del self.lanes[name]
         return found
 
-    def holding(self, now: float, name: str) -> tuple[float, str, int, int, float]:
-        """For a report: rate, planner, term and number of the grant it goes by, and the limit it told."""
+    def holding(self, now: float, name: str) -> tuple[float, str, int, int, float, bool]:
+        """For a report: rate, planner, term and number of the grant it goes by, the limit it told, and
+        whether it has lapsed with its safe time."""
         lane = self.lanes.get(name)
         newest = lane.newest() if lane else None
-        if lane is None or newest is None or not newest.live(now):
-            return 0.0, "", lane.term if lane else 0, 0, newest.grant.limit if newest else 0.0
-        grant = newest.grant
-        return max(grant.per_s, 0.0), newest.planner, grant.term, grant.seq, grant.limit
+        if lane is None or newest is None:
+            return 0.0, "", lane.term if lane else 0, 0, 0.0, False
+        grant, bound = newest.grant, newest.bound(now)
+        if bound == math.inf:  # nothing binds, or not any more
+            bound = 0.0
+        return bound, newest.planner, grant.term, grant.seq, grant.limit, newest.freed(now)
 
 
 def alike(one: float, other: float) -> bool:
--- a/rushhitch/planning/limits.py
+++ b/rushhitch/planning/limits.py
@@ -155,8 +155,10 @@
         if was == math.inf:
             if share < FIRST or self.counts.refused < FIRST_CALLS or self.counts.span(now) < FIRST_SEEN_MS:
                 return
-        elif self.counts.sent < FEW or (share >= MANY and self.counts.span(now) < WINDOW_MS):
-            return  # refusals of a window come together: over less time they are all or none
+        elif self.counts.sent < FEW:
+            return
+        elif (share >= MANY or self.waited) and self.counts.span(now) < WINDOW_MS:
+            return  # refusals of a window, and waits, come together: over less time they are all or none
         before = min(was, max(sent, FLOOR))
         if was == math.inf:
             per_s = max(self.peak, taken if share >= MANY else sent)
--- a/rushhitch/planning/messages.py
+++ b/rushhitch/planning/messages.py
@@ -28,6 +28,7 @@
     term: int = 0
     seq: int = 0
     limit: float = 0.0  # what that grant said the lane's limit is; 0 where it said nothing
+    freed: bool = False  # that grant has lapsed with its safe time: no planner reckons with `holding`
 
     def sound(self) -> bool:
         """Whether its figures are ones that a forwarder can have seen; a planner leaves it out otherwise."""
@@ -79,6 +80,7 @@
     slots_ms: float = 0.0  # from when it asked, so long the moments of its calls are told; 0 where none are
     slot: int = 0  # the number of the first of them: each counts once, however often it is told
     slots: list[float] = field(default_factory=list)  # from when it asked
+    counts: bool = True  # False: no grant, but what one that has freed itself is to stay at meanwhile
 
 
 @dataclass(slots=True)
--- a/rushhitch/planning/planner.py
+++ b/rushhitch/planning/planner.py
@@ -244,12 +244,16 @@
         return min(RETURN_SHARE * self.fall_multiple * warmth, 1.0) * known
 
     def grant(self, now: float, lane: Lane, forwarder: str) -> Grant:
-        share = lane.shares[forwarder]
+        share, counts = lane.shares[forwarder], True
         capacity = self.capacity(now, lane)
         if self.learning(now, lane):
-            # Nothing is dealt anew: others may hold grants that this planner has not heard of yet.
+            # Nothing is dealt anew: others may hold grants that this planner has not heard of yet. One that
+            # has freed itself gets no grant, but stays where it is until lanes are dealt again.
             per_s = share.report.holding
-            if capacity < math.inf:
+            counts = not share.report.freed
+            if not counts:
+                per_s = min(per_s, capacity)
+            elif capacity < math.inf:
                 room = capacity - self.promised_to_others(now, lane, forwarder)
                 per_s = min(per_s, max(room, share.promised(now), 0.0))
             slots = (0.0, 0, [])
@@ -264,7 +268,7 @@
             slots = self.moments(now, lane, forwarder, capacity, shares)
         self.seq += 1
         bounded = per_s < math.inf
-        if bounded:
+        if bounded and counts:
             lease_until = now + LEASE_MS
             before = share.promised(now)
             lane.all_promised(now)
@@ -285,6 +289,7 @@
             self.handicap(lane, forwarder),
             lane.limit.per_s if lane.limit.per_s < math.inf else LIMITLESS,
             *slots,
+            counts,
         )
 
     def moments(
--- a/rushhitch/planning/wire.py
+++ b/rushhitch/planning/wire.py
@@ -70,6 +70,7 @@
     term: int
     seq: int
     limit: float
+    freed: bool
 
 
 class _Report(msgspec.Struct, array_like=True):
@@ -95,6 +96,7 @@
     slots_ms: float
     slot: int
     slots: list[float]
+    counts: bool
 
 
 class _Grants(msgspec.Struct, array_like=True):
