--- a/rushhitch/planning/limits.py
+++ b/rushhitch/planning/limits.py
@@ -140,36 +140,43 @@
             return
         sent, taken = (count * 1000.0 / span for count in (counts.sent, counts.taken))
         self.peak = max(taken, self.peak * math.exp(-passed / FORGET_MS))
-        if counts.refused >= ONE:
+        if counts.refused >= ONE and self.per_s == math.inf:
+            self.find(now, sent, taken)
+        elif counts.refused >= ONE:
             self.cut(now, sent, taken)
-        elif (
-            not counts.refused
-            and self.per_s < math.inf
-            and sent >= (USED if self.proven else USED_FIRST) * self.per_s
-        ):
-            self.grow(now, passed)
+        elif not counts.refused and self.per_s < math.inf:
+            if sent >= (USED if self.proven else USED_FIRST) * self.per_s:
+                self.grow(now, passed)
 
-    def cut(self, now: float, sent: float, taken: float) -> None:
-        share = self.counts.refused / max(self.counts.sent, 1.0)
-        was = self.per_s
-        if was == math.inf:
-            if share < FIRST or self.counts.refused < FIRST_CALLS or self.counts.span(now) < FIRST_SEEN_MS:
-                return
-        elif self.counts.sent < FEW:
+    def find(self, now: float, sent: float, taken: float) -> None:
+        """The first estimate, which the next refusal proves."""
+        counts = self.counts
+        share = counts.refused / max(counts.sent, 1.0)
+        if share < FIRST or counts.refused < FIRST_CALLS or counts.span(now) < FIRST_SEEN_MS:
             return
-        elif (share >= MANY or self.waited) and self.counts.span(now) < WINDOW_MS:
+        many = share >= MANY
+        self.settle(now, max(self.peak, taken if many else sent))
+        self.refused_level = max(sent, LEVEL * self.per_s) if many else math.inf
+
+    def cut(self, now: float, sent: float, taken: float) -> None:
+        counts, was = self.counts, self.per_s
+        share = counts.refused / max(counts.sent, 1.0)
+        many = share >= MANY
+        if counts.sent < FEW or ((many or self.waited) and counts.span(now) < WINDOW_MS):
             return  # refusals of a window, and waits, come together: over less time they are all or none
-        before = min(was, max(sent, FLOOR))
-        if was == math.inf:
-            per_s = max(self.peak, taken if share >= MANY else sent)
-        elif share >= MANY:  # it takes what it can, or less where refused calls count
+        if many:  # it takes what it can, or less where refused calls count
             per_s = max(taken, CUT_MOST * was)
+            self.refused_level = max(min(was, sent), LEVEL * per_s)
         else:
             per_s = CUT * (1.0 - share) * was
             if self.waited:  # where told waits keep all away, few are refused: what was taken tells more
                 per_s = min(per_s, max(LEVEL * taken, CUT_MOST * was))
-        self.refused_level = (was + per_s) / 2.0 if share < MANY else max(before, LEVEL * per_s)
-        self.proven = was < math.inf
+            self.refused_level = (was + per_s) / 2.0
+        self.proven = True
+        self.settle(now, per_s)
+
+    def settle(self, now: float, per_s: float) -> None:
+        """Go by that, and count anew once it holds everywhere."""
         self.per_s, self.waited = max(per_s, FLOOR), False
         self.cut_at = self.refused_at = now
         self.counts.clear(now + SETTLE_MS)
--- a/rushhitch/planning/planner.py
+++ b/rushhitch/planning/planner.py
@@ -19,8 +19,10 @@
 
 LEASE_MS = 2_000.0  # a grant holds so long from when its forwarder asked
 SAFE_SHARE, SAFE_MS = 0.5, 3_000.0  # and then so much of it for so long, for a forwarder that is cut off
-LEARN_MS = LEASE_MS + SAFE_MS  # a planner that begins on a lane: by then grants of a former one have lapsed
-ALIVE_MS = 1_500.0  # a forwarder that has not reported for so long is thought gone; its grants still count
+ALIVE_MS = 1_500.0  # a forwarder or planner not heard for so long is thought gone; grants still count
+# A planner that begins on a lane: a former one may go on granting until it hears of it, at most ALIVE_MS, and
+# those grants must have lapsed.
+LEARN_MS = LEASE_MS + SAFE_MS + ALIVE_MS
 FORGET_MS = 60_000.0  # a lane or forwarder of which nothing is heard is forgotten
 BURST_MS = 100.0  # worth of a rate that may go at once; at least one call
 IDLE_MS = 300.0  # worth of a lane's limit that each may send at once where nobody needs it
@@ -254,8 +256,10 @@
             if not counts:
                 per_s = min(per_s, capacity)
             elif capacity < math.inf:
-                room = capacity - self.promised_to_others(now, lane, forwarder)
-                per_s = min(per_s, max(room, share.promised(now), 0.0))
+                promised, total = share.promised(now), lane.all_promised(now)
+                if total > capacity:  # the limit has shrunk: each goes down to its part of it
+                    promised *= capacity / total
+                per_s = min(per_s, max(capacity - self.promised_to_others(now, lane, forwarder), promised))
             slots = (0.0, 0, [])
         elif capacity == math.inf:
             per_s, slots = math.inf, (0.0, 0, [])
--- a/rushhitch/planning/wire.py
+++ b/rushhitch/planning/wire.py
@@ -18,6 +18,8 @@
 import os
 import struct
 from collections.abc import Iterator
+from dataclasses import fields
+from typing import get_type_hints
 
 import msgspec
 
@@ -55,22 +57,15 @@
     """What came cannot be read, or is not allowed; the text says why."""
 
 
-class _Lane(msgspec.Struct, array_like=True):
-    lane: str
-    group: str
-    demand: float
-    worth: float
-    sent: float
-    taken: float
-    refused: float
-    wait_ms: float
-    cold: bool
-    holding: float
-    planner: str
-    term: int
-    seq: int
-    limit: float
-    freed: bool
+def _row(kind: type) -> type[msgspec.Struct]:
+    """A message's form on the wire: its fields by position, as the dataclass has them, all of them there."""
+    told = get_type_hints(kind)
+    return msgspec.defstruct(
+        f"_{kind.__name__}", [(item.name, told[item.name]) for item in fields(kind)], array_like=True
+    )
+
+
+_Lane, _Grant = _row(LaneReport), _row(Grant)
 
 
 class _Report(msgspec.Struct, array_like=True):
@@ -78,31 +73,13 @@
     number: int
     elapsed_ms: float
     heard: list[str]
-    lanes: list[_Lane]
-
-
-class _Grant(msgspec.Struct, array_like=True):
-    lane: str
-    per_s: float
-    burst: float
-    lease_ms: float
-    safe: float
-    safe_ms: float
-    term: int
-    seq: int
-    wait_ms: float
-    handicap: float
-    limit: float
-    slots_ms: float
-    slot: int
-    slots: list[float]
-    counts: bool
+    lanes: list[_Lane]  # type: ignore[valid-type]
 
 
 class _Grants(msgspec.Struct, array_like=True):
     planner: str
     number: int
-    grants: list[_Grant]
+    grants: list[_Grant]  # type: ignore[valid-type]
 
 
 _encode = msgspec.msgpack.Encoder().encode
