--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -47,12 +47,14 @@
     id: bytes
     body: bytes
     stop_at: float  # by the clock of the event loop, in seconds
+    due: float = math.inf  # when its message's time is up, by that clock
 
 
 @dataclass(frozen=True, slots=True)
 class Result:
     """How an attempt ended; `over` says that the message is finished, however that came. `idled_ms` is how
-    long its connection had stood idle, 0 if it was new or never came up; `kept`, whether it is idle again."""
+    long its connection had stood idle, 0 if it was new or never came up; `kept`, whether it is idle again; `first_due`, when the first
+    message of its call is out of time."""
 
     attempt: Attempt
     endpoint: str
@@ -62,6 +64,7 @@
     over: bool = False
     idled_ms: float = 0.0
     kept: bool = False
+    first_due: float = math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -72,6 +75,7 @@
     started: float
     open: dict[tuple[int, int], Attempt]
     ids: list[bytes]
+    first_due: float = math.inf
     wait: float = 0.0  # told by its answer
     idled_ms: float = 0.0
     kept: bool = False
@@ -240,7 +244,8 @@
 
     def start(self, endpoint: str, attempts: list[Attempt]) -> None:
         open_ = {(a.message, a.number): a for a in attempts}
-        call = Call(endpoint, self.loop.time(), open_, [attempt.id for attempt in attempts])
+        first_due = min(attempt.due for attempt in attempts)
+        call = Call(endpoint, self.loop.time(), open_, [attempt.id for attempt in attempts], first_due)
         self.calls.update(dict.fromkeys(call.open, call))
         call.task = self.keep_task(endpoint, self.run(call, attempts))
 
@@ -271,7 +276,8 @@
             return
         del self.calls[key]
         took = (self.loop.time() - call.started) * 1000.0
-        self.report(Result(attempt, call.endpoint, outcome, took, call.wait, over, call.idled_ms, call.kept))
+        told = (call.wait, over, call.idled_ms, call.kept, call.first_due)
+        self.report(Result(attempt, call.endpoint, outcome, took, *told))
 
     def end_all(self, call: Call, outcome: Outcome, over: bool = False) -> None:
         for attempt in list(call.open.values()):
@@ -368,7 +374,7 @@
         return place.state is not State.READY or self.waits.get(place.lane, 0.0) > self.loop.time()
 
     async def request(self, connection: Connection, call: Call, attempts: list[Attempt]) -> None:
-        left = max(attempt.stop_at for attempt in attempts) - self.loop.time()
+        left = min(attempt.stop_at for attempt in attempts) - self.loop.time()
         headers = [(b"X-Time-Left-Ms", b"%d" % max(left * 1000.0, 1.0))]
         if len(attempts) == 1:
             headers.append((b"X-Correlation-Id", attempts[0].id))
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -246,8 +246,11 @@
 
     def attempt_ended(self, result: Result) -> None:
         message = self.messages[result.attempt.message]
-        if result.over and self.loop.time() >= message.due:  # the client's time was up: it proves nothing
-            result = replace(result, outcome=Outcome.TIMEOUT, over=False)
+        if result.over and self.loop.time() >= result.first_due - ANSWER_MARGIN_S:
+            # Guards against a message that is lost: to a client, whose time began earlier, it may have been
+            # over before this answer, which then proves nothing, for any message of the call. So what may not
+            # run twice is told as failed, which does no harm where it was delivered; what may goes again.
+            result = replace(result, over=False)
         message.out.discard(result.attempt.number)
         if self.counts is not None:
             now = self.loop.time() * 1000.0
@@ -369,8 +372,9 @@
                 kept, attempt = message.kept, message.attempts
                 message.attempts += 1
                 message.out.add(attempt)
+                stop_at = min(stop_at_ms / 1000.0, message.due)
                 sends.setdefault(endpoint, []).append(
-                    Attempt(number, attempt, kept.id, kept.body, self.stop(message, stop_at_ms / 1000.0))
+                    Attempt(number, attempt, kept.id, kept.body, stop_at, message.due)
                 )
             case api.Fail(number):
                 self.answer_end(self.messages[number], "dead", 0.0)
@@ -398,12 +402,6 @@
             case api.Log(text):
                 log.info("module: %s", text)
 
-    def stop(self, message: Message, stop_at: float) -> float:
-        """How long a call is waited for. Guards against an answer that is believed here when to the client,
-        whose time began earlier, the message was over: it ends as neither delivered nor failed."""
-        now = self.loop.time()
-        return min(stop_at, max(message.due - ANSWER_MARGIN_S, (message.due + now) / 2.0))
-
     def probe_ended(self, endpoint: str, outcome: Outcome, took_ms: float) -> None:
         self.note(api.ProbeEnded(endpoint, outcome, took_ms))
 
