--- a/lab/dispatcher.py
+++ b/lab/dispatcher.py
@@ -39,7 +39,7 @@
 PARTS = (  # where a sample belongs: the innermost frame from one of these files tells
     ("journal", ("rushhitch/journal/",)),
     ("HTTP", ("/h11/", "rushhitch/connection.py", "rushhitch/endpoints.py", "rushhitch/partners/")),
-    ("RESP2", ("rushhitch/clients.py", "hiredis", "rushhitch/fronts/")),
+    ("RESP2", ("hiredis", "rushhitch/fronts/")),
     ("decisions", ("crowpier/",)),
     ("turns", ("rushhitch/",)),
     ("loop", ("asyncio/", "selectors.py", "uvloop")),
--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -17,10 +17,11 @@
 from crowpier import Dispatcher
 from crowpier.benchlink import settings_of
 from crowpier.interface import Settings
-from rushhitch.clients import Clients
 from rushhitch.config.own import BadOwn, Own, read_own
 from rushhitch.connection import parse_address
 from rushhitch.discovery import Notices, Platform, Watch
+from rushhitch.fronts.listener import Clients
+from rushhitch.fronts.resp2 import Resp2
 from rushhitch.journal import Journal, JournalError, Sync
 from rushhitch.node import Node
 from rushhitch.planning.counts import LaneCounts
@@ -162,9 +163,11 @@
     reloading = loop.create_task(reload(changed, platform))
     clients = Clients(node, most_clients, int(BEGUN_SHARE * configuration.memory_bytes))
     try:
-        await clients.listen(configuration.listen)
+        await clients.listen(configuration.listen, Resp2)
     except OSError as error:
         raise BadConfiguration(f"ROUTER_LISTEN: {error}") from None
+    if configuration.own.events is not None:
+        await listen_for_events(clients, configuration)
     log.info(
         "%s is ready on %s:%d, %d messages resumed", configuration.name, *clients.address, len(node.by_id)
     )
@@ -191,6 +194,28 @@
     journal.close()
 
 
+async def listen_for_events(clients: Clients, configuration: Configuration) -> None:
+    """The CloudEvents front, beside RESP2 and within the same bounds."""
+    from rushhitch.cloudevents.mapping import Rules  # with its library: only where it is on
+    from rushhitch.fronts.cloudevents import front
+
+    events = configuration.own.events
+    assert events is not None, "asked for only where it is set"
+    most_ms = {cls.name: cls.deadline_ms for cls in configuration.settings.classes}
+    for key, names in (("types", events.types.values()), ("usual_ms", events.usual_ms)):
+        for name in names:
+            if name not in most_ms:
+                raise BadConfiguration(
+                    f"[cloudevents] {key}: no class is called {name!r}: use one of {', '.join(most_ms)}"
+                )
+    rules = Rules(events.types, most_ms, events.destination, events.destinations, events.usual_ms)
+    try:
+        address = await clients.listen(events.listen, front(rules))
+    except OSError as error:
+        raise BadConfiguration(f"[cloudevents] listen: {error}") from None
+    log.info("CloudEvents are taken on %s:%d", *address)
+
+
 async def reload(changed: asyncio.Event, platform: Platform) -> None:
     """After each SIGHUP, go on with the file's `discovery`; all else in it waits for a restart."""
     while True:
--- a/rushhitch/config/own.py
+++ b/rushhitch/config/own.py
@@ -20,6 +20,19 @@
     """The file makes no sense; the text names the file, the line, the fault and the remedy."""
 
 
+@dataclass(frozen=True, slots=True)
+class Events:
+    """`[cloudevents]`: where the front listens, and what attributes mean (`cloudevents.mapping.Rules`)."""
+
+    listen: tuple[str, int]
+    types: Mapping[str, str]  # class by type; a type that ends in .* stands for all that begin so
+    destination: str = "subject"  # the attribute that tells the destination
+    destinations: Mapping[str, int] = field(
+        default_factory=dict
+    )  # by its value; none: the value is the number
+    usual_ms: Mapping[str, float] = field(default_factory=dict)  # by class, of events without expirytime
+
+
 @dataclass(frozen=True, slots=True)
 class Own:
     """The settings of the file, by section and key; each has a default."""
@@ -31,6 +44,7 @@
     cold_from: float = 0.2  # [planning]: of a partner that returns, as in the dispatchers' settings
     warm_ms: float = 10_000.0
     fall_multiple: float = 2.0
+    events: Events | None = None  # [cloudevents], where it has `listen`
 
 
 def read_own(environ: Mapping[str, str]) -> Own:
@@ -58,6 +72,7 @@
     known = {
         "journal": {"sync"},
         "process": {"loop"},
+        "cloudevents": {"listen", "types", "destination", "destinations", "usual_ms"},
         "planning": {"planners", "secret_file", "cold_from", "warm_ms", "fall_multiple"},
     }
     for section, values in told.items():
@@ -75,7 +90,8 @@
                 raise BadOwn(f"{name}:{line_of(text, section, key)}: {what}")
     sync = choice_of(told, "journal", "sync", SYNCS, text, name)
     loop = choice_of(told, "process", "loop", LOOPS, text, name)
-    return Own(sync, loop, **planning_of(told.get("planning", {}), text, name))
+    events = events_of(told.get("cloudevents", {}), text, name)
+    return Own(sync, loop, **planning_of(told.get("planning", {}), text, name), events=events)
 
 
 def choice_of(
@@ -102,10 +118,9 @@
         raise fault("planners", 'planners must be a table: write planners = { p1 = "127.0.0.1:7001" }')
     found["planners"] = {}
     for planner, address in planners.items():
-        host, colon, port = address.rpartition(":") if isinstance(address, str) else ("", "", "")
-        if not colon or not host or not port.isdecimal() or not int(port) <= 65_535:
+        found["planners"][planner] = address_of(address)
+        if found["planners"][planner] is None:
             raise fault("planners", f"planner {planner}: {address!r} must be of the form host:port")
-        found["planners"][planner] = (host, int(port))
     for key, low, high in (("cold_from", 0.001, 1.0), ("warm_ms", 0.0, 1e7), ("fall_multiple", 0.001, 1e3)):
         if key in told:
             value = told[key]
@@ -124,6 +139,47 @@
     return found
 
 
+def address_of(value: Any) -> tuple[str, int] | None:
+    """`host:port` as a pair; None where it is something else."""
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    return (host, int(port)) if colon and host and port.isdecimal() and int(port) <= 65_535 else None
+
+
+def events_of(told: dict[str, Any], text: str, name: str) -> Events | None:
+    """`[cloudevents]`; None where there is none. Classes are checked at the start, with the settings."""
+
+    def fault(key: str, what: str) -> BadOwn:
+        return BadOwn(f"{name}:{line_of(text, 'cloudevents', key)}: {what}")
+
+    def table(key: str, kind: type | tuple[type, ...], what: str) -> dict[str, Any]:
+        value = told.get(key, {})
+        good = isinstance(value, dict) and all(
+            isinstance(item, kind) and not isinstance(item, bool) for item in value.values()
+        )
+        if not good:
+            raise fault(key, f"{key} must be a table of {what}")
+        return value
+
+    if not told:
+        return None
+    listen = address_of(told.get("listen"))
+    if listen is None:
+        raise fault("listen", f'listen must be of the form "host:port", not {told.get("listen")!r}')
+    types = table("types", str, 'classes by type: types = { "com.example.paid" = "payment-order" }')
+    if not types:
+        raise fault("types", 'types is empty: write types = { "com.example.paid" = "payment-order" }')
+    destination = told.get("destination", "subject")
+    if not isinstance(destination, str) or not re.fullmatch("[a-z0-9]+", destination):
+        raise fault("destination", f"destination must be an attribute's name, not {destination!r}")
+    destinations = table("destinations", int, 'numbers by name: destinations = { "bank-a" = 3 }')
+    if any(number < 0 for number in destinations.values()):
+        raise fault("destinations", "destinations: the number of a destination is 0 or more")
+    usual = table("usual_ms", (int, float), "milliseconds by class: usual_ms = { payment-order = 8000 }")
+    if any(not 1.0 <= value <= 1e9 for value in usual.values()):
+        raise fault("usual_ms", "usual_ms: milliseconds from 1 to 1e9")
+    return Events(listen, types, destination, destinations, {key: float(ms) for key, ms in usual.items()})
+
+
 def line_of(text: str, section: str, key: str = "") -> int:
     """The line, counted from 1, of a section's head or of a key in it; 1 where it is written otherwise."""
     inside = not key
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -53,8 +53,8 @@
 @dataclass(frozen=True, slots=True)
 class Result:
     """How an attempt ended; `over` says that the message is finished, however that came. `idled_ms` is how
-    long its connection had stood idle, 0 if it was new or never came up; `kept`, whether it is idle again; `first_due`, when the first
-    message of its call is out of time."""
+    long its connection had stood idle, 0 if it was new or never came up; `kept`, whether it is idle again;
+    `first_due`, when the first message of its call is out of time."""
 
     attempt: Attempt
     endpoint: str
--- /dev/null
+++ b/rushhitch/fronts/listener.py
@@ -0,0 +1,219 @@
+"""Listeners and what their connections have in common: bounds that all fronts share, and answers in order."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import select
+import socket
+from collections import deque
+from collections.abc import Callable
+
+from rushhitch.fronts.taker import Taker
+
+log = logging.getLogger(__name__)
+
+MOST_REQUEST = 69_632  # bytes of a request of one message: its body and 4 KiB
+SILENT_S = 2.0  # a connection that has asked nothing, or half a request, is closed after so long
+IDLE_S = 6.0  # one that stands between requests is closed after so long
+SWEEP_S = 0.25  # between two looks for such connections
+ACCEPTS = 16  # connections taken at once, so that a crowd does not hold up those who ask
+
+
+class Slot:
+    """The place of one request's answer among those of its connection."""
+
+    def __init__(self) -> None:
+        self.answer = b""
+        self.handles: list[int] = []  # of offers that have no answer yet
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client connection; answers go out in the order of the requests. A front says how requests are read
+    (`data_received`, which tells `half_sent` what it holds) and how an error looks (`error`)."""
+
+    def __init__(self, server: Clients) -> None:
+        self.server, self.taker = server, server.taker
+        self.loop = asyncio.get_running_loop()
+        self.slots: deque[Slot] = deque()
+        self.transport: asyncio.Transport | None = None
+        self.resting: asyncio.TimerHandle | None = None  # until then nothing more of it is served
+        self.heard_at = self.loop.time()  # when it connected, began a request or had its last answer
+        self.size = 0  # bytes of a request that has not come whole
+        self.asked = False  # it has made a request that makes sense
+        self.full = False  # it does not take its answers
+        self.deaf = False  # it sent what can't be read: nothing more is
+        self.finishing = False  # it is closed as soon as no request is under way
+
+    def error(self, text: str) -> bytes:
+        """An error as the front's protocol has it, for what cannot be read."""
+        raise NotImplementedError
+
+    def half_sent(self, size: int) -> bool:
+        """So many bytes of a request have come without its end; False if all together hold too many."""
+        self.server.begun += size - self.size
+        self.size = size
+        return self.server.begun <= self.server.most_begun
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        if not self.server.make_room():
+            self.refuse("too many clients are connected")
+        self.server.clients[self] = None
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.server.clients.pop(self, None)
+        self.half_sent(0)
+        if self.resting is not None:
+            self.resting.cancel()
+        for slot in self.slots:
+            for handle in slot.handles:
+                self.taker.withdraw(handle)
+        self.slots.clear()
+
+    def read_on(self) -> None:
+        """Read, or stop reading, as its state has it."""
+        if self.transport is not None and not self.transport.is_closing():
+            if self.deaf or self.full or self.resting:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
+
+    def reply(self, slot: Slot, answer: bytes) -> None:
+        slot.answer = answer
+        slot.handles.clear()
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.heard_at = self.loop.time()
+        while self.slots and self.slots[0].answer:
+            self.transport.write(self.slots.popleft().answer)
+        if self.finishing:
+            self.close_between()
+
+    def refuse(self, text: str) -> None:
+        """Say what is wrong, after the answers that are due, and close."""
+        slot = Slot()
+        self.slots.append(slot)
+        self.deaf = self.finishing = True
+        self.read_on()
+        self.reply(slot, self.error(text))
+
+    def unread(self) -> bool:
+        """Whether something waits to be read."""
+        assert self.transport is not None, "there is no connection yet"
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def between(self) -> bool:
+        """Whether it stands between two requests, as far as they were read."""
+        return self.deaf or not (self.slots or self.size or self.resting)
+
+    def finish(self) -> bool:
+        """Close between requests: at once if none is under way, nor waits to be read."""
+        self.finishing = True
+        if self.transport is not None and not self.transport.is_closing() and not self.unread():
+            self.close_between()
+        return self.transport is None or self.transport.is_closing()
+
+    def close_between(self) -> None:
+        if not self.slots and self.between() and self.transport is not None:
+            self.transport.close()
+
+    def end_waiting(self, now: float) -> None:
+        """Guards against clients that say nothing, or half a request, or keep a connection for good."""
+        waited = now - self.heard_at
+        if self.transport is None or waited < SILENT_S:
+            return
+        if self.deaf:
+            self.transport.abort()  # it does not take its last answer
+        elif self.slots or self.resting or self.unread():
+            return
+        elif self.size:
+            self.refuse("the rest of the request did not come")
+        elif not self.asked:
+            self.refuse("no request came that makes sense")
+        elif waited >= IDLE_S:
+            self.finish()
+
+    def pause_writing(self) -> None:
+        """Guards against a client that asks on and on but takes no answers."""
+        self.full = True
+        self.read_on()
+
+    def resume_writing(self) -> None:
+        self.full = False
+        self.read_on()
+
+
+class Clients:
+    """The listeners of all fronts and their connections, within bounds that they share."""
+
+    def __init__(self, taker: Taker, most: int, most_begun: int = 100 * MOST_REQUEST) -> None:
+        self.taker, self.most, self.most_begun = taker, most, most_begun
+        self.begun = 0  # bytes of requests that are half sent: they take memory
+        self.loop = asyncio.get_running_loop()
+        self.clients: dict[ClientConnection, None] = {}  # in the order in which they were last heard
+        self.accepted: set[asyncio.Task] = set()
+        self.listeners: list[socket.socket] = []
+
+    async def listen(
+        self, address: tuple[str, int], front: Callable[[Clients], ClientConnection]
+    ) -> tuple[str, int]:
+        """Listen there for connections of that front; gives the address, where port 0 was told."""
+        listener = socket.create_server(address, backlog=512)
+        listener.setblocking(False)
+        self.loop.add_reader(listener, self.accept, listener, front)
+        if not self.listeners:
+            self.loop.call_later(SWEEP_S, self.sweep)
+        self.listeners.append(listener)
+        return listener.getsockname()
+
+    def accept(self, listener: socket.socket, front: Callable[[Clients], ClientConnection]) -> None:
+        for _ in range(ACCEPTS):
+            try:
+                sock, _ = listener.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                log.error("a connection is not accepted: %s", error)
+                return
+            sock.setblocking(False)
+            task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: front(self), sock))
+            self.accepted.add(task)
+            task.add_done_callback(self.accepted.discard)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Of the first listener."""
+        return self.listeners[0].getsockname()
+
+    def used(self, client: ClientConnection) -> None:
+        if self.clients.pop(client, self) is None:
+            self.clients[client] = None
+
+    def make_room(self) -> bool:
+        """Guards against crowds: where there are too many, one that has asked nothing gives way, or else the
+        one that has been silent longest."""
+        if len(self.clients) < self.most:
+            return True
+        for client in sorted(filter(ClientConnection.between, self.clients), key=lambda client: client.asked):
+            if client.finish():
+                self.clients.pop(client)
+                return True
+        return False
+
+    def sweep(self) -> None:
+        now = self.loop.time()
+        for client in list(self.clients):
+            client.end_waiting(now)
+        self.loop.call_later(SWEEP_S, self.sweep)
+
+    def stop_listening(self) -> None:
+        for listener in self.listeners:
+            self.loop.remove_reader(listener)
+            listener.close()
+
+    def finish(self) -> None:
+        for client in list(self.clients):
+            client.finish()
--- /dev/null
+++ b/rushhitch/fronts/resp2.py
@@ -0,0 +1,177 @@
+"""The RESP2 server: PING, OUT.ADD and their answers, and a plain error for bad input."""
+
+from __future__ import annotations
+
+import re
+
+import hiredis
+
+from rushhitch.fronts.listener import MOST_REQUEST, ClientConnection, Clients, Slot
+from rushhitch.fronts.taker import MOST_BODY, MOST_ID, BadRequest, Offer, Reply
+
+NOTHING = object()  # what the reader gives while no request is complete
+MOST_LINE = 16  # bytes of a line that tells a length
+MOST_KEY = 32  # digits of a key of order
+BURST = 32  # requests of one connection that are served, or without their answers, at once
+REST_S = 0.005  # before the further ones
+TURNED_AWAY_S = 0.1  # before anything more is read of one that was turned away
+
+
+def error_line(text: str) -> bytes:
+    return b"-ERR %s\r\n" % " ".join(text.split()).encode("ascii", "replace")
+
+
+def answer_line(reply: Reply) -> bytes:
+    """What became of an OUT.ADD, on the wire."""
+    if reply.what == "taken":
+        return b"+OK\r\n"
+    if reply.what == "refused":
+        return b"-BUSY %d\r\n" % reply.wait_ms if reply.wait_ms >= 1 else b"-BUSY\r\n"
+    return error_line("the message cannot be delivered")
+
+
+def number(text: str, name: str) -> int:
+    if not (text.isascii() and text.isdecimal()) or len(text) > 15:
+        raise BadRequest(f"{name} must be a whole number, not {text[:40]!r}")
+    return int(text)
+
+
+def parse_offer(words: list[bytes]) -> Offer:
+    """The words of an OUT.ADD."""
+    if len(words) != 5:
+        raise BadRequest(f"OUT.ADD takes key, id, fields and body, not {len(words) - 1} words")
+    _, key, name, fields, body = words
+    if not 0 < len(name) <= MOST_ID or not all(33 <= byte < 127 for byte in name):
+        raise BadRequest(f"the id must be 1 to {MOST_ID} printable characters without spaces")
+    if len(body) > MOST_BODY:
+        raise BadRequest(f"the body has {len(body)} bytes, more than {MOST_BODY}")
+    if not re.fullmatch(rb"[0-9a-fA-F]{1,%d}" % MOST_KEY, key):
+        raise BadRequest(f"the key must be hexadecimal, not {key[:40]!r}")
+    told = dict(pair.partition("=")[::2] for pair in fields.decode("latin-1").split(","))
+    for wanted in ("c", "d", "dest"):
+        if wanted not in told:
+            raise BadRequest(f"the field {wanted} is missing")
+    return Offer(
+        name,
+        told["c"],
+        number(told["dest"], "dest"),
+        float(number(told["d"], "d")),
+        body,
+        int(key, 16),
+        told.get("r") == "1",
+    )
+
+
+class Framing:
+    """Follows the input ahead of hiredis, which on `*2000000000` makes room for so many words before one has
+    come, and takes six seconds to give it back."""
+
+    COUNT, LENGTH, END = (re.compile(line) for line in (rb"\*([1-9]\d?)\r\n", rb"\$(\d{1,6})\r\n", rb"\r\n"))
+
+    def __init__(self) -> None:
+        self.expected, self.line = self.COUNT, b""
+        self.words = self.skip = 0  # words of the request and bytes of the word that are yet to come
+        self.size = 0  # bytes of the request so far
+        self.wrong = ""  # why nothing further can be read
+
+    def follow(self, data: bytes) -> int:
+        """How many bytes of the data can be read; fewer than all if `wrong` says why."""
+        at = 0
+        while at < len(data) and not self.wrong:
+            if self.skip:
+                step = min(self.skip, len(data) - at)
+                self.skip -= step
+            else:
+                end = data.find(b"\n", at, at + MOST_LINE)
+                step = (end + 1 if end >= 0 else min(len(data), at + MOST_LINE)) - at
+                self.line += data[at : at + step]
+                if end >= 0 or len(self.line) >= MOST_LINE:
+                    self.read(self.line)
+                    self.line = b""
+                if self.wrong:
+                    break
+            at += step
+            self.size = self.size + step if self.words or self.expected is not self.COUNT or self.line else 0
+        return at
+
+    def read(self, line: bytes) -> None:
+        told = self.expected.fullmatch(line)
+        if not told:
+            self.wrong = f"Protocol error: expected an array of bulk strings, not {line!r}"
+        elif self.expected is self.COUNT:
+            self.words, self.expected = int(told[1]), self.LENGTH
+        elif self.expected is self.LENGTH:
+            self.words, self.skip, self.expected = self.words - 1, int(told[1]), self.END
+            if self.size + self.skip > MOST_REQUEST:
+                self.wrong = f"a request of more than {MOST_REQUEST} bytes"
+        else:
+            self.expected = self.LENGTH if self.words else self.COUNT
+
+
+class Resp2(ClientConnection):
+    """One client connection; answers go out in the order of the requests."""
+
+    def __init__(self, server: Clients) -> None:
+        super().__init__(server)
+        self.framing, self.reader = Framing(), hiredis.Reader(notEnoughData=NOTHING)
+
+    def error(self, text: str) -> bytes:
+        return error_line(text)
+
+    def data_received(self, data: bytes) -> None:
+        if self.deaf:
+            return
+        self.server.used(self)
+        if not self.size:
+            self.heard_at = self.loop.time()
+        self.reader.feed(data[: self.framing.follow(data)])
+        if not self.half_sent(self.framing.size):
+            self.framing.wrong = self.framing.wrong or "too many requests are half sent"
+        if self.resting is None:
+            self.serve()
+
+    def serve(self) -> None:
+        """Take the requests that have come; guards against one connection that holds up all others."""
+        self.resting = None
+        for _ in range(BURST):
+            if len(self.slots) >= BURST:
+                break
+            try:
+                words = self.reader.gets()
+            except hiredis.HiredisError as error:
+                self.framing.wrong, words = f"Protocol error: {error}", NOTHING
+            if words is NOTHING:
+                if self.framing.wrong:
+                    self.refuse(self.framing.wrong)
+                self.read_on()
+                return
+            if not self.request(words):
+                self.rest(TURNED_AWAY_S)
+                return
+        self.rest(REST_S)
+
+    def rest(self, seconds: float) -> None:
+        self.resting = self.loop.call_later(seconds, self.serve)
+        self.read_on()
+
+    def request(self, words: list[bytes]) -> bool:
+        """Whether the request makes sense."""
+        slot = Slot()
+        self.slots.append(slot)
+        command = words[0].upper()
+        try:
+            if command == b"PING" and len(words) == 1:
+                self.reply(slot, b"+PONG\r\n")
+            elif command == b"OUT.ADD":
+                handle = self.taker.offer(
+                    parse_offer(words), lambda reply: self.reply(slot, answer_line(reply))
+                )
+                if not slot.answer:
+                    slot.handles.append(handle)
+            else:
+                raise BadRequest(f"unknown command or wrong number of words: {words[0][:40]!r}")
+        except BadRequest as error:
+            self.reply(slot, error_line(str(error)))
+            return False
+        self.asked = True
+        return True
--- /dev/null
+++ b/rushhitch/fronts/taker.py
@@ -0,0 +1,60 @@
+"""The seam between the fronts and the core: what a front hands in, and what it hears back. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+MOST_BODY = 65_536  # bytes of a message
+MOST_ID = 128  # bytes of its id
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A message that a client hands in."""
+
+    id: bytes
+    cls: str
+    destination: int
+    left_ms: float
+    body: bytes
+    key: int = 0
+    again: bool = False
+    remember: bool = False  # the id names this message for good: past its end too, it is not a new one
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What became of an offer, and later of the message. `what` is "taken"; "delivered"; "refused", which
+    never ran and may come again after `wait_ms` milliseconds (0: none is told); or "failed", which may have
+    run."""
+
+    what: str
+    wait_ms: float = 0.0
+
+
+TAKEN, DELIVERED, FAILED = Reply("taken"), Reply("delivered"), Reply("failed")
+Answer = Callable[[Reply], None]
+
+
+class BadRequest(ValueError):
+    """The request makes no sense; the text says what is wrong."""
+
+
+class Pending(BadRequest):
+    """A message of that id is being taken on just now: to come again soon is harmless."""
+
+
+class Taker(Protocol):
+    """Who decides on what clients hand in: the core."""
+
+    def offer(self, offer: Offer, answer: Answer, ended: Answer | None = None) -> int:
+        """Take the offer; `answer` is called once, soon, with "taken", "refused" or "failed". After "taken",
+        `ended` is called once, with the message's end, if this process sees it. An offer with the id of a
+        message that is held is that message; one that is remembered past its end is answered with that end.
+        Gives a handle, 0 where there is nothing to withdraw; raises `BadRequest`, and then neither is
+        called."""
+
+    def withdraw(self, handle: int) -> None:
+        """The client has gone without its answer. A message whose offer was answered stays."""
--- a/rushhitch/journal/format.py
+++ b/rushhitch/journal/format.py
@@ -34,7 +34,7 @@
 MESSAGE, TRY, GOT, OWE, END, COLD, WARM = range(1, 8)
 NAMES = ("", "message", "try", "got", "owe", "end", "cold", "warm")
 SYNCED = 1  # flag of a segment
-AGAIN, KEYED, TRIED = 1, 2, 4  # flags of a message
+AGAIN, KEYED, TRIED, REMEMBERED = 1, 2, 4, 8  # flags of a message
 MESSAGE_HEAD = struct.Struct("<QddqHBBB")  # number, deadline, taken at, destination, attempts, flags, lengths
 NUMBER = struct.Struct("<Q")
 TRY_HEAD = struct.Struct("<QHd")
@@ -66,6 +66,7 @@
     ran: tuple[str, float] | None = None  # the first attempt that had an outcome and may have run
     notice: tuple[str, float] | None = None  # it has ended; the platform has yet to be told how
     taken_at: float = 0.0
+    remember: bool = False  # its identity outlasts its end: then `notice` may be "delivered" or "failed"
     home: Any = field(
         default=None, compare=False, repr=False
     )  # segment of its newest `MESSAGE` record, or None
@@ -81,7 +82,8 @@
 
 
 def message_payload(kept: Kept) -> bytes:
-    cls, flags, extra = kept.cls.encode(), AGAIN if kept.again else 0, b""
+    cls, extra = kept.cls.encode(), b""
+    flags = (AGAIN if kept.again else 0) | (REMEMBERED if kept.remember else 0)
     if kept.key:
         flags |= KEYED
         extra = kept.key.to_bytes(KEY_SIZE, "little")
@@ -140,6 +142,7 @@
         ran,
         notice,
         taken_at,
+        flags & REMEMBERED > 0,
     )
 
 
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -12,9 +12,10 @@
 from crowpier import Dispatcher
 from crowpier import interface as api
 from crowpier.interface import Outcome, Settings, State
-from rushhitch.clients import Answer, BadRequest, Offer
 from rushhitch.connection import parse_address
 from rushhitch.endpoints import Attempt, Endpoints, Place, Result
+from rushhitch.fronts.ended import KEEP_S, MOST, End, Ended
+from rushhitch.fronts.taker import DELIVERED, FAILED, TAKEN, Answer, BadRequest, Offer, Pending, Reply
 from rushhitch.journal import Journal, Kept
 from rushhitch.journal.commit import Committer
 from rushhitch.journal.space import RECORD_ROOM
@@ -24,11 +25,13 @@
 
 log = logging.getLogger(__name__)
 
+WITHDRAWN = Reply("refused")  # nobody was told that it is taken on: it may come again
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 OVERDUE_S = 0.1  # after its time is up, a message that the module has not ended is failed here
 ANSWER_MARGIN_S = 0.1  # a client's message is so much older than we know, at most: it waited on its way here
 LINGER_S = 60.0  # a destination with no endpoint left is known for so long: its next one may be on the way
 BUSY_MS = 500  # told to a client where the house or the journal is full
+ENDED_SHARE = 0.25  # of the room for live messages: identities remembered past their end take no more
 RETRY_S = 0.25  # between two tries to write what a full disk did not take
 
 
@@ -41,6 +44,7 @@
     attempts: int
     due: float  # when its time is up, by the clock of the event loop, in seconds
     answer: Answer | None = None
+    enders: list[Answer] = field(default_factory=list)  # those who want to hear its end
     over: bool = False
     out: set[int] = field(default_factory=set)
     watchdog: asyncio.TimerHandle | None = None
@@ -70,6 +74,8 @@
         self.numbers = journal.highest
         self.committer = Committer(journal)
         self.notices: list[tuple[int, bytes, str, float]] = []  # to be told once the journal tells of them
+        self.ended = Ended(min(MOST, int(ENDED_SHARE * journal.space.live_most / RECORD_ROOM)))
+        self.ends: list[tuple[Answer, Reply]] = []  # likewise, for those who wait
         self.retrying: asyncio.TimerHandle | None = None
         self.fresh_bytes = 0
         self.counts: LaneCounts | None = None  # for reports, where there are planners
@@ -137,8 +143,8 @@
             self.counts.place(entry.endpoint, entry.destination, kind.apart)
         return entry
 
-    def offer(self, offer: Offer, answer: Answer) -> int:
-        """A client hands a message in; it is answered at the end of the turn."""
+    def offer(self, offer: Offer, answer: Answer, ended: Answer | None = None) -> int:
+        """A client hands a message in; it is answered at the end of the turn. `Taker` tells the rest."""
         if offer.cls not in self.classes:
             raise BadRequest(f"unknown class {offer.cls[:40]!r}")
         if offer.left_ms > (most := self.settings.classes[self.classes[offer.cls]].deadline_ms):
@@ -147,12 +153,17 @@
             raise BadRequest(f"unknown destination {offer.destination}")
         if held := self.by_id.get(offer.id):
             if held.answer is not None:
-                raise BadRequest("the id is that of a message which is being taken on")
-            answer(b"+OK\r\n")  # it is taken on already, once
+                raise Pending("the id is that of a message which is being taken on")
+            answer(TAKEN)  # it is taken on already, once
+            if ended is not None:
+                held.enders.append(ended)
+            return 0
+        if offer.remember and (end := self.ended.get(offer.id, time.time())) is not None:
+            answer(end)
             return 0
         room = self.fresh_bytes + len(offer.body)
         if len(self.by_id) >= self.settings.max_held or not self.journal.has_room(room):
-            answer(b"-BUSY %d\r\n" % BUSY_MS)
+            answer(Reply("refused", BUSY_MS))
             return 0
         self.numbers += 1
         kept = Kept(
@@ -165,8 +176,11 @@
             offer.key,
             offer.again,
             taken_at=time.time(),
+            remember=offer.remember,
         )
         message = self.enter(kept, answer)
+        if ended is not None:
+            message.enders.append(ended)
         if self.counts is not None:
             self.counts.arrived(offer.destination)
         self.fresh.append(message)
@@ -196,7 +210,8 @@
         message = self.messages.get(number)
         if message is not None and not message.over:
             message.answer = None
-            self.close(message)
+            message.enders.clear()
+            self.close(message, end=WITHDRAWN)
             self.note(api.Withdrawn(number))
 
     def overdue(self, message: Message) -> None:
@@ -214,7 +229,11 @@
             self.note(api.Remembered(endpoint, pace_per_s))
         for kept in self.journal.messages():  # in the order of taking, which some classes keep
             if kept.notice is not None:
-                self.notify(kept.number, kept.id, *kept.notice)
+                result, wait_ms = kept.notice
+                if kept.remember and result != "bounced":
+                    self.remember(kept, DELIVERED if result == DELIVERED.what else FAILED)
+                if result in ("dead", "bounced"):
+                    self.notify(kept.number, kept.id, result, wait_ms)
                 continue
             if kept.cls not in self.classes:
                 log.error("message %r is of class %r, which is gone: it is failed", kept.id, kept.cls)
@@ -340,7 +359,7 @@
         """The journal tells of all this now."""
         for message in fresh:
             if not message.over and message.answer is not None:
-                message.answer(b"+OK\r\n")
+                message.answer(TAKEN)
                 message.answer = None
         for endpoint, attempts in sends.items():
             wanted = []
@@ -411,37 +430,53 @@
             return
         if message.answer is not None:
             answer, message.answer = message.answer, None
-            if result == "dead":
-                answer(b"-ERR the message cannot be delivered\r\n")
-            else:
-                answer(b"-BUSY %d\r\n" % wait_ms if wait_ms >= 1 else b"-BUSY\r\n")
+            message.enders.clear()  # it was never taken on
+            answer(FAILED if result == "dead" else Reply("refused", wait_ms))
             self.close(message)
             return
         if message.number in self.journal.live:
             self.journal.owe(message.number, result, wait_ms)
         self.notices.append((message.number, message.kept.id, result, wait_ms))
-        self.close(message, noticed=True)
+        self.close(message, noticed=True, end=FAILED if result == "dead" else Reply("refused", wait_ms))
 
-    def close(self, message: Message, noticed: bool = False) -> None:
-        """The message is over; with a notice the journal keeps it until that is heard."""
+    def close(self, message: Message, noticed: bool = False, end: Reply = DELIVERED) -> None:
+        """The message is over; with a notice the journal keeps it until that is heard. Those who wait for its
+        end hear it as soon as the journal tells of it."""
         if message.over:
             return
         message.over = True
+        self.ends += [(ended, end) for ended in message.enders]
+        message.enders.clear()
         if message.watchdog is not None:
             message.watchdog.cancel()
-        if not noticed and message.number in self.journal.live:
-            self.journal.end(message.number)
+        if message.number in self.journal.live:
+            if message.kept.remember and end.what != WITHDRAWN.what:
+                if not noticed:
+                    self.journal.owe(message.number, end.what, 0.0)
+                self.remember(message.kept, end)
+            elif not noticed:
+                self.journal.end(message.number)
         self.by_id.pop(message.kept.id, None)
         self.forget(message)
         if not self.by_id:
             self.idle.set()
 
+    def remember(self, kept: Kept, end: Reply) -> None:
+        """The journal keeps the message, without its body, until its identity may be forgotten."""
+        now = time.time()
+        self.ended.add(kept.id, End(kept.number, end, max(now, kept.deadline) + KEEP_S))
+        for number in self.ended.forget(now):
+            self.journal.end(number)
+
     def forget(self, message: Message) -> None:
         if message.over and not message.out:
             self.messages.pop(message.number, None)
 
     def notice_heard(self, number: int) -> None:
-        if number in self.journal.live:
+        if number in self.ended.numbers:
+            self.journal.owe(number, FAILED.what, 0.0)  # the platform knows now
+            self.save()
+        elif number in self.journal.live:
             self.journal.end(number)
             self.save()
 
@@ -452,14 +487,18 @@
         disk does not take it, and what was noted is tried again soon. Guards against an end that is told and
         then forgotten: after a restart the message would be sent as if nobody had been told."""
         notices, self.notices = self.notices, []
+        ends, self.ends = self.ends, []
 
         def done() -> None:
             for notice in notices:
                 self.notify(*notice)
+            for ended, end in ends:
+                ended(end)
             then()
 
         def failed() -> None:
             self.notices[:0] = notices
+            self.ends[:0] = ends
             otherwise()
             if self.retrying is None:
                 self.retrying = self.loop.call_later(RETRY_S, self.retry)
--- a/tests/lives.py
+++ b/tests/lives.py
@@ -15,8 +15,8 @@
 from crowpier.benchlink import settings_of
 from crowpier.interface import Outcome
 from rushhitch import node as node_module
-from rushhitch.clients import Offer
 from rushhitch.endpoints import Result
+from rushhitch.fronts.taker import TAKEN, Offer, Reply
 from rushhitch.journal import Journal, Sync
 from rushhitch.journal.files import Files
 from rushhitch.node import Node
@@ -184,9 +184,9 @@
     def offer(self, name: bytes, cls: str, body: bytes = b"a body") -> None:
         self.outside.offered[name] = cls
 
-        def answer(text: bytes) -> None:
+        def answer(reply: Reply) -> None:
             self.outside.answers[name] += 1
-            if text.startswith(b"+"):
+            if reply == TAKEN:
                 self.outside.taken[name] = cls
 
         self.node.offer(Offer(name, cls, 7, 5000.0, body), answer)
--- /dev/null
+++ b/tests/test_fronts_cloudevents.py
@@ -0,0 +1,490 @@
+"""The CloudEvents front over loopback, on the real core: what is taken, refused, waited for, turned away."""
+
+import asyncio
+import json
+
+import pytest
+from doubles import Client as Resp2Client
+from doubles import run
+from test_node import Bench
+
+from rushhitch.cloudevents.http import BATCH, MOST_BATCH, STRUCTURED
+from rushhitch.cloudevents.mapping import Rules
+from rushhitch.fronts import cloudevents, listener
+from rushhitch.fronts.cloudevents import front, wait_of
+from rushhitch.fronts.ended import End, Ended
+from rushhitch.fronts.listener import Clients
+from rushhitch.fronts.resp2 import Resp2
+from rushhitch.fronts.taker import DELIVERED, FAILED
+
+RULES = Rules({"com.example.note": "note", "com.example.pay": "pay"}, {"note": 6000.0, "pay": 24000.0})
+EVENT = {"specversion": "1.0", "id": "1", "source": "/books", "type": "com.example.note", "subject": "7"}
+
+
+class Front:
+    """A core with one partner that the test plays, and both fronts before it."""
+
+    async def start(self, folder, most=16, most_begun=4_000_000):
+        self.core = await Bench().start(folder)
+        self.partner, self.node = self.core.partner, self.core.node
+        self.clients = Clients(self.node, most, most_begun)
+        self.http = await self.clients.listen(("127.0.0.1", 0), front(RULES))
+        self.resp2 = await self.clients.listen(("127.0.0.1", 0), Resp2)
+        return self
+
+    async def connect(self):
+        return Browser(*await asyncio.open_connection(*self.http))
+
+
+class Browser:
+    """An HTTP client by hand."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer = reader, writer
+
+    def send(self, headers, body=b"", length=None):
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        lines.append(f"Content-Length: {len(body) if length is None else length}")
+        head = "\r\n".join(["POST / HTTP/1.1", "Host: x", *lines, "", ""])
+        self.writer.write(head.encode("latin-1") + body)
+
+    def binary(self, body=b"hello", more=None, **changes):
+        told = {f"ce-{name}": value for name, value in (EVENT | changes).items() if value is not None}
+        self.send(told | (more or {}), body)
+
+    def structured(self, more=None, **changes):
+        self.send({"Content-Type": STRUCTURED} | (more or {}), json.dumps(EVENT | changes).encode())
+
+    def batch(self, events, more=None):
+        self.send({"Content-Type": BATCH} | (more or {}), json.dumps(events).encode())
+
+    async def head(self):
+        lines = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
+        return int(lines[0].split()[1]), headers
+
+    async def answer(self):
+        status, headers = await self.head()
+        return status, headers, json.loads(await self.reader.readexactly(int(headers["content-length"])))
+
+    async def closed(self):
+        return await self.reader.read() == b""
+
+
+def with_front(folder, **told):
+    def decorate(test):
+        async def work():
+            front = await Front().start(folder, **told)
+            try:
+                await test(front)
+            finally:
+                front.clients.stop_listening()
+                front.core.journal.close()
+
+        run(work())
+
+    return decorate
+
+
+def test_an_event_is_taken_on_and_its_data_goes_to_the_partner(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(b"hello")
+        status, _, told = await client.answer()
+        assert status == 202 and told == {"source": "/books", "id": "1", "state": "taken"}
+        request = await front.partner.next()
+        assert request.body == b"hello"
+        client.structured(id="2", data={"a": 1})  # on the same connection
+        assert (await client.answer())[0] == 202
+        request.answer(200)
+        assert (await front.partner.next()).body == b'{"a": 1}'
+
+
+def test_it_is_answered_only_once_the_journal_tells_of_it(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary()
+        assert (await client.answer())[0] == 202
+        (kept,) = front.core.journal.live.values()
+        assert kept.body == b"hello" and kept.cls == "note"
+
+
+def test_the_same_event_again_is_the_same_message_also_past_its_end(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client, other = await front.connect(), await front.connect()
+        client.binary(type="com.example.pay")
+        assert (await client.answer())[0] == 202
+        other.structured(type="com.example.pay", data="hello")
+        assert (await other.answer())[0] == 202
+        assert len(front.node.by_id) == 1
+        (await front.partner.next()).answer(200)
+        await front.node.idle.wait()
+        client.binary(type="com.example.pay")
+        status, _, told = await client.answer()
+        assert status == 200 and told["state"] == "delivered"
+        assert not front.node.by_id and front.partner.requests.empty()
+
+
+def test_an_event_that_is_being_taken_on_may_come_again_soon(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        one, two = await front.connect(), await front.connect()
+        one.binary()
+        two.binary()
+        answers = [await one.answer(), await two.answer()]
+        assert sorted(status for status, _, _ in answers) in ([202, 202], [202, 503])
+        for status, headers, _ in answers:
+            assert (status == 503) == ("retry-after" in headers)
+        assert len(front.node.by_id) == 1
+
+
+@pytest.mark.parametrize(
+    ("cls", "answer", "status", "state"),
+    [("note", 200, 200, "delivered"), ("pay", 200, 200, "delivered"), ("pay", 500, 502, "failed")],
+)
+def test_a_client_that_waits_hears_the_end(tmp_path, cls, answer, status, state):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(more={"Prefer": "wait=30"}, type=f"com.example.{cls}")
+        (await front.partner.next()).answer(answer)
+        told_status, headers, told = await client.answer()
+        assert (told_status, told["state"]) == (status, state)
+        assert headers["preference-applied"] == "wait=30"
+
+
+def test_a_wait_that_is_over_is_answered_with_what_is_known(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(more={"Prefer": "respond-async, wait=1"})
+        status, _, told = await client.answer()
+        assert status == 202 and told["state"] == "taken"
+        (await front.partner.next()).answer(200)
+        await front.node.idle.wait()
+
+
+def test_a_full_house_refuses_with_a_time_and_the_event_may_come_again(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        most = front.node.settings.max_held
+        front.node.by_id.update({b"%d" % n: None for n in range(most)})
+        client = await front.connect()
+        client.binary()
+        status, headers, told = await client.answer()
+        assert status == 503 and headers["retry-after"] == "1" and told["state"] == "refused"
+        assert headers["content-type"] == "application/problem+json"
+        front.node.by_id.clear()
+        client.binary()
+        assert (await client.answer())[0] == 202
+
+
+def test_in_a_batch_each_event_has_its_own_end_and_one_identity_is_one_event(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        bad = EVENT | {"id": "2", "specversion": "9"}
+        client.batch([EVENT, bad, EVENT | {"data": "again"}, EVENT | {"id": "3", "type": "com.example.x"}])
+        status, _, told = await client.answer()
+        assert status == 207 and [row["status"] for row in told] == [202, 400, 202, 400]
+        assert told[1]["attribute"] == "specversion" and told[3]["attribute"] == "type"
+        assert len(front.node.by_id) == 1
+        client.batch([])
+        assert (await client.answer())[2] == []
+
+
+def test_a_batch_that_waits_hears_each_end(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.batch([EVENT, EVENT, EVENT | {"id": "2", "type": "com.example.pay"}], {"Prefer": "wait=30"})
+        for _ in range(2):
+            request = await front.partner.next()
+            paid = int(request.headers["x-time-left-ms"]) > 6000  # a payment may run for longer
+            request.answer(500 if paid else 200)
+        status, _, told = await client.answer()
+        assert status == 207 and [row["status"] for row in told] == [200, 200, 502]
+        assert told[0] == told[1] and told[2]["state"] == "failed"
+
+
+@pytest.mark.parametrize(
+    ("changes", "attribute"),
+    [
+        ({"type": "com.example.other"}, "type"),
+        ({"subject": "bank"}, "subject"),
+        ({"subject": None}, "subject"),
+        ({"expirytime": "2020-01-01T00:00:00Z"}, "expirytime"),
+        ({"source": "a b"}, "source"),
+        ({"id": None}, "id"),
+    ],
+)
+def test_a_problem_names_the_attribute_and_the_connection_serves_on(tmp_path, changes, attribute):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(**changes)
+        status, headers, told = await client.answer()
+        assert status == 400 and told["attribute"] == attribute and told["status"] == 400
+        assert headers["content-type"] == "application/problem+json"
+        client.binary()
+        assert (await client.answer())[0] == 202
+
+
+def test_an_unknown_destination_is_told(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(subject="8")
+        status, _, told = await client.answer()
+        assert status == 400 and told["detail"] == "unknown destination 8"
+
+
+def test_a_malformed_event_beside_a_valid_one_costs_it_nothing(tmp_path):
+    # In a pipeline on one connection, and at the same instant on two.
+    @with_front(tmp_path)
+    async def _(front):
+        client, other = await front.connect(), await front.connect()
+        client.binary(**{"id": "bad%zz"})
+        client.structured(id="good", data="x")
+        other.structured(id="better", data="x")
+        told = [await client.answer(), await client.answer(), await other.answer()]
+        assert [status for status, _, _ in told] == [400, 202, 202]
+        assert told[0][2]["attribute"] == "id"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"*1\r\n$4\r\nPING\r\n\r\n", 400),
+        (b"\x00\xff\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+        (b"POST / HTTP/1.1\r\n\r\n", 400),  # no Host
+        (b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9999999999\r\n\r\n", 413),
+        (b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+        (b"POST / HTTP/1.1\r\nHost: x\r\n" + b"a: b\r\n" * 20_000, 431),
+        (b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    ],
+)
+def test_what_cannot_be_read_is_told_and_its_connection_closed(tmp_path, data, status):
+    @with_front(tmp_path)
+    async def _(front):
+        client, good = await front.connect(), await front.connect()
+        client.writer.write(data)
+        told, headers, problem = await client.answer()
+        assert told == status and headers["connection"] == "close" and problem["detail"]
+        assert await client.closed()
+        good.binary()
+        assert (await good.answer())[0] == 202
+
+
+def test_a_body_that_goes_on_without_end_is_cut_off(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.writer.write(b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+        chunk = b"10000\r\n" + bytes(65_536) + b"\r\n"
+        for _ in range(MOST_BATCH // 65_536 + 1):
+            client.writer.write(chunk)
+        assert (await client.answer())[0] == 413
+        assert front.clients.begun == 0
+
+
+def test_a_chunked_body_and_expect_continue_are_served(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        head = "".join(f"ce-{name}: {value}\r\n" for name, value in EVENT.items())
+        start = (
+            f"POST / HTTP/1.1\r\nHost: x\r\n{head}Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n"
+        )
+        client.writer.write(start.encode())
+        assert (await client.head())[0] == 100
+        client.writer.write(b"3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n")
+        assert (await client.answer())[0] == 202
+        assert (await front.partner.next()).body == b"hello"
+
+
+def test_an_event_too_large_is_told_and_one_as_large_as_may_be_is_taken(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(bytes(65_537))
+        status, _, told = await client.answer()
+        assert status == 413 and told["attribute"] == "data"
+        client.binary(bytes(65_536))
+        assert (await client.answer())[0] == 202
+
+
+def test_a_batch_of_ten_thousand_events_is_refused_whole(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.send({"Content-Type": BATCH}, b"[" + b",".join([b"{}"] * 10_000) + b"]")
+        assert (await client.answer())[0] == 413
+        assert not front.node.by_id
+
+
+@pytest.mark.parametrize("said", [b"", b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhal"])
+def test_a_client_that_says_nothing_or_half_a_request_is_told_so_and_closed(tmp_path, monkeypatch, said):
+    monkeypatch.setattr(listener, "SILENT_S", 0.1)
+
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.writer.write(said)
+        assert (await client.answer())[0] == 408
+        assert await client.closed() and front.clients.begun == 0
+
+
+def test_half_sent_bytes_are_bounded_over_both_fronts(tmp_path):
+    @with_front(tmp_path, most_begun=50_000)
+    async def _(front):
+        raw = Resp2Client(*await asyncio.open_connection(*front.resp2))
+        raw.writer.write(b"*5\r\n$60000\r\n" + bytes(40_000))
+        while front.clients.begun < 40_000:
+            await asyncio.sleep(0.01)
+        client = await front.connect()
+        client.writer.write(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n" + bytes(20_000))
+        status, headers, _ = await client.answer()
+        assert status == 503 and headers["retry-after"] == "1"
+
+
+def test_connections_are_bounded_over_both_fronts(tmp_path):
+    @with_front(tmp_path, most=2)
+    async def _(front):
+        first, second = await front.connect(), await front.connect()
+        for number, client in enumerate((first, second)):  # both wait for an end, so that neither gives way
+            client.binary(more={"Prefer": "wait=30"}, id=f"{number}")
+            await front.partner.next()
+        raw = Resp2Client(*await asyncio.open_connection(*front.resp2))
+        assert (await raw.line()).startswith(b"-ERR too many clients")
+        third = await front.connect()
+        assert (await third.answer())[0] == 503
+
+
+def test_a_client_that_goes_before_its_answer_takes_its_event_with_it(tmp_path, monkeypatch):
+    @with_front(tmp_path)
+    async def _(front):
+        monkeypatch.setattr(front.node, "note", lambda event: front.node.events.append(event))  # no turn yet
+        client = await front.connect()
+        client.binary()
+        while not front.node.by_id:
+            await asyncio.sleep(0.01)
+        client.writer.transport.abort()
+        while front.node.by_id:
+            await asyncio.sleep(0.01)
+
+
+def test_a_client_that_goes_while_it_waits_leaves_its_event(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(more={"Prefer": "wait=30"})
+        request = await front.partner.next()
+        client.writer.transport.abort()
+        request.answer(200)
+        await front.node.idle.wait()
+        again = await front.connect()
+        again.binary()
+        assert (await again.answer())[2]["state"] == "delivered"
+
+
+def test_an_event_that_was_out_at_a_restart_is_failed_and_never_runs_again(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(type="com.example.pay")
+        assert (await client.answer())[0] == 202
+        await front.partner.next()  # and no answer
+
+    for life in range(2):  # the second one finds the platform told
+
+        @with_front(tmp_path)
+        async def _(front, life=life):
+            if not life:
+                number, _, result, _ = await front.core.ends.get()
+                assert result == "dead"
+                front.node.notice_heard(number)
+            client = await front.connect()
+            client.binary(type="com.example.pay")
+            status, _, told = await client.answer()
+            assert (status, told["state"]) == (502, "failed")
+            assert front.partner.requests.empty() and front.core.ends.empty()
+
+
+def test_a_delivered_event_is_known_after_a_restart(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(type="com.example.pay")
+        assert (await client.answer())[0] == 202
+        (await front.partner.next()).answer(200)
+        await front.node.idle.wait()
+
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(type="com.example.pay")
+        status, _, told = await client.answer()
+        assert (status, told["state"]) == (200, "delivered")
+        assert front.partner.requests.empty() and front.core.ends.empty()
+
+
+def test_an_event_that_was_refused_may_come_again(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        front.partner.server.close()
+        client.binary(expirytime="2999-01-01T00:00:00Z", type="com.example.pay")
+        assert (await client.answer())[0] == 202
+        message = front.node.by_id[next(iter(front.node.by_id))]
+        front.node.answer_end(message, "bounced", 300.0)
+        front.node.save()
+        assert front.node.ended.ends == {}
+
+
+def test_identities_past_their_end_take_a_bounded_part_of_the_journal(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        front.node.ended.most = 2
+        client = await front.connect()
+        for number in range(4):
+            client.binary(id=f"{number}")
+            assert (await client.answer())[0] == 202
+            (await front.partner.next()).answer(200)
+            await front.node.idle.wait()
+        assert len(front.core.journal.live) == 2
+        client.binary(id="0")  # forgotten: a new message
+        assert (await client.answer())[0] == 202
+
+
+def test_ends_are_remembered_for_a_while_and_within_a_bound():
+    ended = Ended(most=2)
+    ended.add(b"a", End(1, DELIVERED, 10.0))
+    assert ended.get(b"a", 9.0) == DELIVERED and ended.get(b"a", 10.0) is None
+    ended.add(b"b", End(2, FAILED, 11.0))
+    assert ended.forget(9.0) == []
+    ended.add(b"c", End(3, FAILED, 12.0))
+    assert ended.forget(9.0) == [1] and ended.get(b"a", 3.0) is None and ended.get(b"b", 3.0) == FAILED
+    assert ended.forget(11.5) == [2] and list(ended.numbers) == [3]
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [
+        ("wait=5", 5.0),
+        ("respond-async, wait=10", 10.0),
+        ('WAIT="7"; x', 7.0),
+        ("wait=99999", cloudevents.MOST_WAIT_S),
+        ("await=5", 0.0),
+        ("wait=-1", 0.0),
+        ("", 0.0),
+    ],
+)
+def test_the_preference_to_wait_is_read(value, seconds):
+    assert wait_of([("prefer", value)]) == seconds
--- a/tests/test_clients.py
+++ b/tests/test_fronts_resp2.py
@@ -7,8 +7,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rushhitch import clients
-from rushhitch.clients import MOST_BODY, BadRequest, Clients, parse_offer
+from rushhitch.fronts import listener
+from rushhitch.fronts import resp2 as clients
+from rushhitch.fronts.listener import Clients
+from rushhitch.fronts.resp2 import Resp2, parse_offer
+from rushhitch.fronts.taker import MOST_BODY, TAKEN, BadRequest, Reply
 
 
 class Taker:
@@ -19,7 +22,7 @@
         self.withdrawn = asyncio.Queue()
         self.handles = 0
 
-    def offer(self, offer, answer):
+    def offer(self, offer, answer, ended=None):
         self.handles += 1
         self.offers.put_nowait((offer, answer))
         return self.handles
@@ -33,7 +36,7 @@
         async def work():
             taker = Taker()
             server = Clients(taker, most)
-            await server.listen(("127.0.0.1", 0))
+            await server.listen(("127.0.0.1", 0), Resp2)
             await test(server, taker)
 
         run(work())
@@ -63,8 +66,8 @@
         client.send(*ADD)
         _, first = await taker.offers.get()
         _, second = await taker.offers.get()
-        second(b"-BUSY 300\r\n")
-        first(b"+OK\r\n")
+        second(Reply("refused", 300.0))
+        first(TAKEN)
         assert [await client.line() for _ in range(3)] == [b"+OK\r\n", b"+PONG\r\n", b"-BUSY 300\r\n"]
 
 
@@ -155,7 +158,7 @@
         second = await connect(server)
         assert b"too many clients" in await second.line()
         assert await second.line() == b""
-        answer(b"+OK\r\n")
+        answer(TAKEN)
         assert await first.line() == b"+OK\r\n"
 
 
@@ -210,7 +213,7 @@
         server.stop_listening()
         server.finish()
         assert await idle.line() == b""
-        answer(b"+OK\r\n")
+        answer(TAKEN)
         assert await asking.line() == b"+OK\r\n" and await asking.line() == b""
         writing.writer.write(b"NG\r\n")
         assert await writing.line() == b"+PONG\r\n" and await writing.line() == b""
@@ -219,7 +222,7 @@
 @pytest.mark.parametrize("said", [b"", b"*1\r\n$4\r\nPI", b"*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI"])
 def test_a_client_that_says_nothing_or_half_a_request_is_told_so_and_closed(said, monkeypatch):
     # Guards against descriptors that silent clients hold for good.
-    monkeypatch.setattr(clients, "SILENT_S", 0.1)
+    monkeypatch.setattr(listener, "SILENT_S", 0.1)
 
     @with_server()
     async def _(server, taker):
@@ -230,8 +233,8 @@
 
 
 def test_a_connection_kept_for_good_is_closed_between_requests_only(monkeypatch):
-    monkeypatch.setattr(clients, "SILENT_S", 0.1)
-    monkeypatch.setattr(clients, "IDLE_S", 0.2)
+    monkeypatch.setattr(listener, "SILENT_S", 0.1)
+    monkeypatch.setattr(listener, "IDLE_S", 0.2)
 
     @with_server()
     async def _(server, taker):
@@ -239,7 +242,7 @@
         asking.send(*ADD)
         _, answer = await taker.offers.get()
         assert await kept.ask(b"PING") == b"+PONG\r\n" and await kept.line() == b""
-        answer(b"+OK\r\n")
+        answer(TAKEN)
         assert await asking.line() == b"+OK\r\n" and await asking.line() == b""
 
 
@@ -283,7 +286,7 @@
         for _ in range(30):
             _, answer = await taker.offers.get()
             assert taker.offers.qsize() < 4
-            answer(b"+OK\r\n")
+            answer(TAKEN)
         assert [await client.line() for _ in range(30)] == [b"+OK\r\n"] * 30
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,7 +12,7 @@
 from crowpier.benchlink import settings_of
 from crowpier.interface import Arrived, Listed, ListKind, Remembered
 from rushhitch import node as node_module
-from rushhitch.clients import Offer
+from rushhitch.fronts.taker import TAKEN, Offer, Reply
 from rushhitch.journal import Journal
 from rushhitch.journal.files import Files
 from rushhitch.node import Node
@@ -72,7 +72,7 @@
     @with_bench(tmp_path)
     async def _(bench):
         bench.offer(Offer(b"m1", "note", 7, 50.0, b""))
-        assert await bench.answers.get() == b"+OK\r\n"
+        assert await bench.answers.get() == TAKEN
         assert await bench.ends.get() == (1, b"m1", "dead", 0.0)
         assert bench.node.idle.is_set()
 
@@ -120,9 +120,9 @@
         with monkeypatch.context() as patch:
             patch.setattr(Dispatcher, "handle", broken)
             bench.offer()
-            assert (await bench.answers.get()).startswith(b"-BUSY")
+            assert (await bench.answers.get()).what == "refused"
         bench.offer(Offer(b"m2", "note", 7, 6000.0, b""))
-        assert await bench.answers.get() == b"+OK\r\n"
+        assert await bench.answers.get() == TAKEN
 
     assert "Traceback" in caplog.text and "a fault of our own" in caplog.text
 
@@ -136,11 +136,11 @@
         with monkeypatch.context() as patch:
             patch.setattr(Files, "write", lambda files, fd, data: full(fd, data))
             bench.offer()
-            assert (await bench.answers.get()).startswith(b"-BUSY")
+            assert (await bench.answers.get()).what == "refused"
             assert bench.partner.requests.empty()
         bench.journal.reserve_due = 0.0
         bench.offer(Offer(b"m2", "note", 7, 6000.0, b""))
-        assert await bench.answers.get() == b"+OK\r\n"
+        assert await bench.answers.get() == TAKEN
         assert (await bench.partner.next()).headers["x-correlation-id"] == "m2"
 
 
@@ -148,9 +148,9 @@
     @with_bench(tmp_path)
     async def _(bench):
         bench.offer()
-        assert await bench.answers.get() == b"+OK\r\n"
+        assert await bench.answers.get() == TAKEN
         bench.offer()
-        assert await bench.answers.get() == b"+OK\r\n"
+        assert await bench.answers.get() == TAKEN
         assert len(bench.node.by_id) == 1
 
 
@@ -179,7 +179,7 @@
     async def _(bench):
         for number in range(bench.node.settings.max_held + 1):
             bench.offer(Offer(b"m%d" % number, "note", 7, 6000.0, b""))
-        assert await bench.answers.get() == b"-BUSY %d\r\n" % node_module.BUSY_MS
+        assert await bench.answers.get() == Reply("refused", node_module.BUSY_MS)
 
 
 def test_an_entry_that_makes_no_sense_is_left_out_and_one_that_is_gone_needs_its_id_only(tmp_path, caplog):
@@ -225,7 +225,7 @@
             bench.journal.chill(f"n{number}", 1.0)
             bench.offer(Offer(b"m%d" % number, "note", 1000 + number, 6000.0, b"", key=number + 1))
             bench.node.turn()
-            assert await bench.answers.get() == b"+OK\r\n"
+            assert await bench.answers.get() == TAKEN
             (await bench.partner.next()).answer(200)
             while bench.node.by_id:
                 await asyncio.sleep(0)
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rushhitch.__main__ import loop_factory
-from rushhitch.config.own import LOOPS, SYNCS, BadOwn, Own, parse_own, read_own
+from rushhitch.config.own import LOOPS, SYNCS, BadOwn, Events, Own, parse_own, read_own
 from rushhitch.journal import Sync
 
 
@@ -73,7 +73,8 @@
         ("[journal]\nsync = true\n", 'x:1: sync must be one of "none", "batch", "always", not True'),
         (
             "# a\n\n[jurnal]\nsync = 1\n",
-            "x:3: [jurnal] is not a section: remove it, or use one of journal, planning, process",
+            "x:3: [jurnal] is not a section: remove it, or use one of cloudevents, journal, planning, "
+            "process",
         ),
         ('[journal]\n\nsink = "none"\n', "x:3: sink is no key of [journal]: remove it, or use sync"),
         ("journal = 3\n", "x:1: journal must be a section: write [journal] above its keys"),
@@ -93,3 +94,33 @@
     missing.write_text('[journal]\nsync = "batch"\n')
     assert read_own({"RUSHHITCH_TOML": str(missing)}).sync == "batch"
     assert isinstance(missing, Path)
+
+
+EVENTS = '[cloudevents]\nlisten = "127.0.0.1:8080"\ntypes = { "com.example.paid" = "pay" }\n'
+
+
+def test_the_cloudevents_front_is_off_without_its_section_and_reads_it():
+    assert parse_own("", "x").events is None
+    told = parse_own(EVENTS + 'destinations = { "bank-a" = 3 }\nusual_ms = { pay = 800 }\n', "x").events
+    assert told == Events(
+        ("127.0.0.1", 8080), {"com.example.paid": "pay"}, "subject", {"bank-a": 3}, {"pay": 800.0}
+    )
+
+
+@pytest.mark.parametrize(
+    ("text", "error"),
+    [
+        (EVENTS.replace('"127.0.0.1:8080"', "8080"), 'x:2: listen must be of the form "host:port", not 8080'),
+        (EVENTS.replace('{ "com.example.paid" = "pay" }', "{}"), "x:3: types is empty: write types ="),
+        (EVENTS.replace('"pay" }', "3 }"), "x:3: types must be a table of classes by type"),
+        (EVENTS + 'destination = "a b"\n', "x:4: destination must be an attribute's name, not 'a b'"),
+        (
+            EVENTS + "destinations = { a = -1 }\n",
+            "x:4: destinations: the number of a destination is 0 or more",
+        ),
+        (EVENTS + "usual_ms = { pay = 0 }\n", "x:4: usual_ms: milliseconds from 1 to 1e9"),
+    ],
+)
+def test_a_fault_in_cloudevents_is_told_with_its_place(text, error):
+    with pytest.raises(BadOwn, match=re.escape(error)):
+        parse_own(text, "x")
