--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -17,13 +17,14 @@
 from crowpier import Dispatcher
 from crowpier.benchlink import settings_of
 from crowpier.interface import Settings
-from rushhitch.config.own import BadOwn, Own, read_own
+from rushhitch.config.own import MODES, BadOwn, Own, read_own
 from rushhitch.connection import parse_address
 from rushhitch.discovery import Notices, Platform, Watch
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
 from rushhitch.journal import Journal, JournalError, Sync
 from rushhitch.node import Node
+from rushhitch.partners.codec import Codec
 from rushhitch.planning.counts import LaneCounts
 
 log = logging.getLogger("rushhitch")
@@ -140,6 +141,7 @@
         journal,
         notices.add,
         configuration.sockets - most_clients - OWN_FILES,
+        codecs(configuration.own),
     )
     planners = None
     if forward:
@@ -166,7 +168,7 @@
         await clients.listen(configuration.listen, Resp2)
     except OSError as error:
         raise BadConfiguration(f"ROUTER_LISTEN: {error}") from None
-    if configuration.own.events is not None:
+    if configuration.own.events is not None and configuration.own.events.listen is not None:
         await listen_for_events(clients, configuration)
     log.info(
         "%s is ready on %s:%d, %d messages resumed", configuration.name, *clients.address, len(node.by_id)
@@ -194,13 +196,24 @@
     journal.close()
 
 
+def codecs(own: Own) -> dict[int, Codec]:
+    """What destinations speak that do not speak the platform's protocol."""
+    if own.events is None or not own.events.partners:
+        return {}
+    from rushhitch.partners.cloudevents import CloudEvents  # with its library: only where it is on
+
+    types = {cls: kind for kind, cls in own.events.types.items() if not kind.endswith("*")}
+    made = {mode: CloudEvents(mode, own.events.source, types, own.events.path) for mode in MODES}
+    return {number: made[mode] for number, mode in own.events.partners.items()}
+
+
 async def listen_for_events(clients: Clients, configuration: Configuration) -> None:
     """The CloudEvents front, beside RESP2 and within the same bounds."""
     from rushhitch.cloudevents.mapping import Rules  # with its library: only where it is on
     from rushhitch.fronts.cloudevents import front
 
     events = configuration.own.events
-    assert events is not None, "asked for only where it is set"
+    assert events is not None and events.listen is not None, "asked for only where it is set"
     most_ms = {cls.name: cls.deadline_ms for cls in configuration.settings.classes}
     for key, names in (("types", events.types.values()), ("usual_ms", events.usual_ms)):
         for name in names:
--- a/rushhitch/config/own.py
+++ b/rushhitch/config/own.py
@@ -13,6 +13,7 @@
 VARIABLE = "RUSHHITCH_TOML"  # names another file
 LEAST_SECRET = 16  # bytes: a shorter one can be guessed
 LOOPS = ("asyncio", "uvloop")
+MODES = ("binary", "structured", "batch")  # as `rushhitch.partners.cloudevents` has them
 SYNCS = ("none", "batch", "always")  # as `rushhitch.journal.Sync` has them
 
 
@@ -22,15 +23,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Events:
-    """`[cloudevents]`: where the front listens, and what attributes mean (`cloudevents.mapping.Rules`)."""
+    """`[cloudevents]`: where the front listens, if it does, and what attributes mean
+    (`cloudevents.mapping.Rules`); and which destinations get events (`partners.cloudevents.CloudEvents`)."""
 
-    listen: tuple[str, int]
-    types: Mapping[str, str]  # class by type; a type that ends in .* stands for all that begin so
+    listen: tuple[str, int] | None = None
+    types: Mapping[str, str] = field(
+        default_factory=dict
+    )  # class by type; one in .* is for all that begin so
     destination: str = "subject"  # the attribute that tells the destination
     destinations: Mapping[str, int] = field(
         default_factory=dict
     )  # by its value; none: the value is the number
     usual_ms: Mapping[str, float] = field(default_factory=dict)  # by class, of events without expirytime
+    partners: Mapping[int, str] = field(default_factory=dict)  # mode by destination, one of `MODES`
+    source: str = "/rushhitch"  # of messages that did not come in as events
+    path: str = "/"  # of the requests to partners
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +79,16 @@
     known = {
         "journal": {"sync"},
         "process": {"loop"},
-        "cloudevents": {"listen", "types", "destination", "destinations", "usual_ms"},
+        "cloudevents": {
+            "listen",
+            "types",
+            "destination",
+            "destinations",
+            "usual_ms",
+            "partners",
+            "source",
+            "path",
+        },
         "planning": {"planners", "secret_file", "cold_from", "warm_ms", "fall_multiple"},
     }
     for section, values in told.items():
@@ -163,10 +179,10 @@
     if not told:
         return None
     listen = address_of(told.get("listen"))
-    if listen is None:
+    if listen is None and ("listen" in told or "partners" not in told):
         raise fault("listen", f'listen must be of the form "host:port", not {told.get("listen")!r}')
     types = table("types", str, 'classes by type: types = { "com.example.paid" = "payment-order" }')
-    if not types:
+    if listen and not types:
         raise fault("types", 'types is empty: write types = { "com.example.paid" = "payment-order" }')
     destination = told.get("destination", "subject")
     if not isinstance(destination, str) or not re.fullmatch("[a-z0-9]+", destination):
@@ -177,7 +193,27 @@
     usual = table("usual_ms", (int, float), "milliseconds by class: usual_ms = { payment-order = 8000 }")
     if any(not 1.0 <= value <= 1e9 for value in usual.values()):
         raise fault("usual_ms", "usual_ms: milliseconds from 1 to 1e9")
-    return Events(listen, types, destination, destinations, {key: float(ms) for key, ms in usual.items()})
+    partners = table("partners", str, 'modes by destination: partners = { 3 = "binary" }')
+    for number, mode in partners.items():
+        if not number.isdecimal() or mode not in MODES:
+            raise fault(
+                "partners", f"partners: {number} = {mode!r} must be a number = one of {', '.join(MODES)}"
+            )
+    source, path = told.get("source", "/rushhitch"), told.get("path", "/")
+    if not isinstance(source, str) or not re.fullmatch(r"[\x21-\x7e]+", source):
+        raise fault("source", f"source must be a URI reference, not {source!r}")
+    if not isinstance(path, str) or not re.fullmatch(r"/[\x21-\x7e]*", path):
+        raise fault("path", f"path must begin with / and hold no space, not {path!r}")
+    return Events(
+        listen,
+        types,
+        destination,
+        destinations,
+        {key: float(ms) for key, ms in usual.items()},
+        {int(number): mode for number, mode in partners.items()},
+        source,
+        path,
+    )
 
 
 def line_of(text: str, section: str, key: str = "") -> int:
--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -19,7 +19,7 @@
 LOOK_CONNECTS = (
     2.0  # times what it took to come up: what went out has reached the other side, and word of it us
 )
-INTERIM, DELIVERED = re.compile(rb"HTTP/1\.[01] 1"), re.compile(rb"HTTP/1\.[01] 200( [^\n]*)?\r?\n")
+INTERIM = re.compile(rb"HTTP/1\.[01] 1")
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -123,11 +123,6 @@
         if first and self.head and self.begun is not None and not INTERIM.match(self.head):
             self.begun()
 
-    @property
-    def delivered(self) -> bool:
-        """Whether the first line of the answer says 200; one that was cut off says nothing."""
-        return DELIVERED.match(self.head) is not None
-
     async def response(self) -> h11.Response:
         """The head of the answer."""
         event = await self.event()
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import time
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
@@ -13,19 +14,15 @@
 
 from crowpier.interface import Outcome, Settings, State
 from rushhitch.connection import Connection
+from rushhitch.partners.codec import Attempt, Codec, Ends
+from rushhitch.partners.platform import Platform, head_outcome
 
 log = logging.getLogger(__name__)
 
 MOST_ANSWER = 65_536
 REST_S = 0.5  # an answer that has begun comes to its end in that time, or it is spoilt
 IDLE_MARGIN = 0.1  # of the idle time of connections: so long before its end one is not used any more
-ENDS = {  # of a message in a batch: its outcome, and whether the message is over
-    b"accepted": (Outcome.OK, True),
-    b"fault": (Outcome.ERROR, False),
-    b"deferred": (Outcome.FULL, False),
-    b"expired": (Outcome.MOOT, False),  # by the time that the call told, which is not the message's own
-    b"no_more": (Outcome.MOOT, False),
-}
+PLATFORM = Platform()
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,18 +33,7 @@
     lane: object
     batch: int
     state: State
-
-
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """One message in a call."""
-
-    message: int
-    number: int
-    id: bytes
-    body: bytes
-    stop_at: float  # by the clock of the event loop, in seconds
-    due: float = math.inf  # when its message's time is up, by that clock
+    codec: Codec = PLATFORM
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +61,7 @@
     started: float
     open: dict[tuple[int, int], Attempt]
     ids: list[bytes]
+    codec: Codec = PLATFORM
     first_due: float = math.inf
     wait: float = 0.0  # told by its answer
     idled_ms: float = 0.0
@@ -82,42 +69,6 @@
     task: asyncio.Task[None] | None = None
 
 
-def told_wait(response: h11.Response) -> float:
-    """The milliseconds of `X-Come-Back-Ms`; none if it makes no sense."""
-    for name, value in response.headers:
-        if name == b"x-come-back-ms":
-            try:
-                wait = float(value)
-            except ValueError:
-                return 0.0
-            return wait if 0 < wait < math.inf else 0.0
-    return 0.0
-
-
-def head_outcome(response: h11.Response) -> tuple[Outcome, bool]:
-    """What the head of an answer says of all messages in its call; the second is whether they are over."""
-    match response.status_code:
-        case 200:
-            return Outcome.OK, True
-        case 410 | 504:  # guards against a message that is lost: whether it is over is known here, not there
-            return Outcome.MOOT, False
-        case 429:
-            return Outcome.FULL, False
-        case 503:
-            busy = any(name == b"x-line-busy" and value == b"1" for name, value in response.headers)
-            return (Outcome.MOOT if busy else Outcome.FULL), False
-    return Outcome.ERROR, False  # it may have run
-
-
-def batch_ends(body: bytes, ids: list[bytes]) -> dict[bytes, tuple[Outcome, bool]]:
-    """What the answer to a batch says of each message; one that is not whole and well-formed is spoilt."""
-    told = [line.rpartition(b" ") for line in body.removesuffix(b"\r\n").split(b"\r\n")]
-    ends = {name: ENDS[end] for name, _, end in told if end in ENDS}
-    if len(told) != len(ids) or ends.keys() != set(ids):
-        raise h11.RemoteProtocolError("the answer does not tell each message's end")
-    return ends
-
-
 class NoRoom(OSError):
     """All connections that may be open are, and each has a call on it."""
 
@@ -238,14 +189,16 @@
             for attempt in attempts:
                 self.report(Result(attempt, endpoint, Outcome.MOOT, 0.0))
             return
-        size = self.places[endpoint].batch
+        place = self.places[endpoint]
+        size = place.codec.batch(place.batch)
         for start in range(0, len(attempts), size):
             self.start(endpoint, attempts[start : start + size])
 
     def start(self, endpoint: str, attempts: list[Attempt]) -> None:
         open_ = {(a.message, a.number): a for a in attempts}
         first_due = min(attempt.due for attempt in attempts)
-        call = Call(endpoint, self.loop.time(), open_, [attempt.id for attempt in attempts], first_due)
+        codec = self.places[endpoint].codec
+        call = Call(endpoint, self.loop.time(), open_, [attempt.id for attempt in attempts], codec, first_due)
         self.calls.update(dict.fromkeys(call.open, call))
         call.task = self.keep_task(endpoint, self.run(call, attempts))
 
@@ -361,7 +314,7 @@
             return Outcome.MOOT, False
         if connection is None or not connection.written:
             return (broken if broken is Outcome.CANCELLED else Outcome.CONNECT_FAILED), False
-        if len(call.ids) == 1 and connection.delivered:
+        if len(call.ids) == 1 and call.codec.delivered(connection.head):
             return Outcome.OK, True
         if broken is Outcome.TIMEOUT and connection.head:
             return Outcome.ERROR, False  # its answer began and did not end
@@ -375,18 +328,13 @@
 
     async def request(self, connection: Connection, call: Call, attempts: list[Attempt]) -> None:
         left = min(attempt.stop_at for attempt in attempts) - self.loop.time()
-        headers = [(b"X-Time-Left-Ms", b"%d" % max(left * 1000.0, 1.0))]
-        if len(attempts) == 1:
-            headers.append((b"X-Correlation-Id", attempts[0].id))
-            await connection.send("POST", "/receive", headers, attempts[0].body, look=True)
-        else:
-            lines = (b"%s - %d\r\n%s\r\n" % (a.id, len(a.body), a.body) for a in attempts)
-            await connection.send("POST", "/receive-many", headers, b"".join(lines), look=True)
+        written = call.codec.write(attempts, left * 1000.0)
+        await connection.send("POST", written.target, written.headers, written.body, look=True)
 
-    async def answer(self, connection: Connection, call: Call) -> dict[bytes, tuple[Outcome, bool]]:
+    async def answer(self, connection: Connection, call: Call) -> Ends:
         """How each message ended. Guards against spoilt answers: one counts when the whole of it is read."""
         response = await connection.response()
-        call.wait = told_wait(response)
+        call.wait = call.codec.wait_ms(response, time.time())
         if call.wait:
             lane = self.places[call.endpoint].lane
             self.waits[lane] = max(self.waits.get(lane, 0.0), self.loop.time() + call.wait / 1000.0)
@@ -396,9 +344,7 @@
             # up may be given up as a whole, and then its answer counts for none. It proves neither that the
             # others ran nor that they did not.
             return dict.fromkeys(call.ids, (Outcome.ERROR, False))
-        if len(call.ids) > 1 and response.status_code == 200:
-            return batch_ends(body, call.ids)
-        return dict.fromkeys(call.ids, head_outcome(response))
+        return call.codec.ends(response, body, call.ids)
 
     # Probes
 
--- a/rushhitch/fronts/cloudevents.py
+++ b/rushhitch/fronts/cloudevents.py
@@ -132,7 +132,14 @@
     def offer_of(self, event: Event) -> Offer:
         place = placed(event, self.rules, time.time())
         return Offer(
-            place.id, place.cls, place.destination, place.left_ms, event.data or b"", place.key, remember=True
+            place.id,
+            place.cls,
+            place.destination,
+            place.left_ms,
+            event.data or b"",
+            place.key,
+            attributes=_json(event.attributes),
+            remember=True,
         )
 
     def hand_in(self, place: int, event: Event, offer: Offer) -> None:
--- a/rushhitch/fronts/taker.py
+++ b/rushhitch/fronts/taker.py
@@ -21,6 +21,7 @@
     body: bytes
     key: int = 0
     again: bool = False
+    attributes: bytes = b""  # of an event, as a JSON object: they go on with it
     remember: bool = False  # the id names this message for good: past its end too, it is not a new one
 
 
--- a/rushhitch/journal/format.py
+++ b/rushhitch/journal/format.py
@@ -34,7 +34,7 @@
 MESSAGE, TRY, GOT, OWE, END, COLD, WARM = range(1, 8)
 NAMES = ("", "message", "try", "got", "owe", "end", "cold", "warm")
 SYNCED = 1  # flag of a segment
-AGAIN, KEYED, TRIED, REMEMBERED = 1, 2, 4, 8  # flags of a message
+AGAIN, KEYED, TRIED, REMEMBERED, EVENT = 1, 2, 4, 8, 16  # flags of a message
 MESSAGE_HEAD = struct.Struct("<QddqHBBB")  # number, deadline, taken at, destination, attempts, flags, lengths
 NUMBER = struct.Struct("<Q")
 TRY_HEAD = struct.Struct("<QHd")
@@ -67,6 +67,7 @@
     notice: tuple[str, float] | None = None  # it has ended; the platform has yet to be told how
     taken_at: float = 0.0
     remember: bool = False  # its identity outlasts its end: then `notice` may be "delivered" or "failed"
+    attributes: bytes = b""  # of an event, a JSON object
     home: Any = field(
         default=None, compare=False, repr=False
     )  # segment of its newest `MESSAGE` record, or None
@@ -91,6 +92,9 @@
         flags |= TRIED
         told = json.dumps([kept.ran, list(kept.out.items()), kept.notice], separators=(",", ":")).encode()
         extra += LENGTH.pack(len(told)) + told
+    if kept.attributes:
+        flags |= EVENT
+        extra += LENGTH.pack(len(kept.attributes)) + kept.attributes
     head = MESSAGE_HEAD.pack(
         kept.number,
         kept.deadline,
@@ -127,6 +131,11 @@
         at += size
         out = {attempt: (endpoint, when) for attempt, (endpoint, when) in tries}
         ran, notice = tuple(ran) if ran else None, tuple(notice) if notice else None
+    attributes = b""
+    if flags & EVENT:
+        (size,) = LENGTH.unpack_from(payload, at)
+        at += LENGTH.size
+        attributes, at = payload[at : at + size], at + size
     again = flags & AGAIN > 0
     return Kept(
         number,
@@ -143,6 +152,7 @@
         notice,
         taken_at,
         flags & REMEMBERED > 0,
+        attributes,
     )
 
 
--- a/rushhitch/journal/store.py
+++ b/rushhitch/journal/store.py
@@ -172,7 +172,7 @@
 
     def take(self, kept: Kept) -> None:
         self.live[kept.number] = kept
-        self.live_bytes += RECORD_ROOM + len(kept.body)
+        self.live_bytes += self.cost(kept)
         if kept.number > self.highest:
             self.highest = kept.number
         self.note(kept.number, form.MESSAGE, form.message_payload(kept))
@@ -201,7 +201,7 @@
 
     def ended(self, kept: Kept, result: str, wait_ms: float) -> None:
         self.live_bytes -= self.cost(kept)
-        kept.notice, kept.body = (result, wait_ms), b""
+        kept.notice, kept.body, kept.attributes = (result, wait_ms), b"", b""
         self.live_bytes += self.cost(kept)
 
     def end(self, message: int) -> None:
@@ -222,7 +222,7 @@
 
     def drop(self, message: int) -> None:
         kept = self.live.pop(message)
-        self.live_bytes -= RECORD_ROOM + len(kept.body)
+        self.live_bytes -= self.cost(kept)
         if kept.home is not None:
             kept.home.live.pop(message, None)
 
@@ -257,7 +257,7 @@
 
     @staticmethod
     def cost(kept: Kept) -> int:
-        return RECORD_ROOM + len(kept.body)
+        return RECORD_ROOM + len(kept.body) + len(kept.attributes)
 
     def has_room(self, body: int) -> bool:
         """Whether a message with a body of so many bytes may be taken on. Not while the disk is full."""
@@ -552,7 +552,7 @@
         for count, number in enumerate(oldest.live):
             kept = self.live[number]
             self.note(number, form.MESSAGE, form.message_payload(kept))
-            size += len(kept.body)
+            size += len(kept.body) + len(kept.attributes)
             if count + 1 >= STEP_MESSAGES or size >= STEP_BYTES:
                 break
         for endpoint in oldest.cold:
@@ -630,7 +630,7 @@
             self.report.carried, self.report.lost = len(self.live), bad
         else:
             self.replay_segments(names)
-        self.live_bytes = sum(RECORD_ROOM + len(kept.body) for kept in self.live.values())
+        self.live_bytes = sum(map(self.cost, self.live.values()))
         self.highest = max(self.live, default=0) if self.report.carried else self.highest
 
     def replay_segments(self, names: dict[str, int]) -> None:
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -13,12 +13,13 @@
 from crowpier import interface as api
 from crowpier.interface import Outcome, Settings, State
 from rushhitch.connection import parse_address
-from rushhitch.endpoints import Attempt, Endpoints, Place, Result
+from rushhitch.endpoints import PLATFORM, Endpoints, Place, Result
 from rushhitch.fronts.ended import KEEP_S, MOST, End, Ended
 from rushhitch.fronts.taker import DELIVERED, FAILED, TAKEN, Answer, BadRequest, Offer, Pending, Reply
 from rushhitch.journal import Journal, Kept
 from rushhitch.journal.commit import Committer
 from rushhitch.journal.space import RECORD_ROOM
+from rushhitch.partners.codec import Attempt, Codec
 from rushhitch.planning.counts import LaneCounts
 from rushhitch.planning.guidance import Allowance
 from rushhitch.planning.messages import LaneReport
@@ -60,8 +61,10 @@
         journal: Journal,
         notify: Callable[[int, bytes, str, float], None],
         connections: int = 256,
+        codecs: Mapping[int, Codec] | None = None,
     ) -> None:
         self.settings, self.dispatcher, self.journal, self.notify = settings, dispatcher, journal, notify
+        self.codecs = codecs or {}  # by destination; the others speak the platform's protocol
         self.loop = asyncio.get_running_loop()
         self.endpoints = Endpoints(settings, self.attempt_ended, self.dropped, connections)
         self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
@@ -135,9 +138,9 @@
         )
         kind = self.settings.kinds[entry.kind]
         lane = entry.endpoint if kind.apart else entry.destination
-        self.endpoints.place(
-            entry.endpoint, Place(parse_address(row["addr"]), lane, int(kind.batch), entry.state)
-        )
+        codec = self.codecs.get(entry.destination, PLATFORM)
+        place = Place(parse_address(row["addr"]), lane, int(kind.batch), entry.state, codec)
+        self.endpoints.place(entry.endpoint, place)
         self.entries[entry.endpoint] = entry
         if self.counts is not None:
             self.counts.place(entry.endpoint, entry.destination, kind.apart)
@@ -161,7 +164,8 @@
         if offer.remember and (end := self.ended.get(offer.id, time.time())) is not None:
             answer(end)
             return 0
-        room = self.fresh_bytes + len(offer.body)
+        size = len(offer.body) + len(offer.attributes)
+        room = self.fresh_bytes + size
         if len(self.by_id) >= self.settings.max_held or not self.journal.has_room(room):
             answer(Reply("refused", BUSY_MS))
             return 0
@@ -177,6 +181,7 @@
             offer.again,
             taken_at=time.time(),
             remember=offer.remember,
+            attributes=offer.attributes,
         )
         message = self.enter(kept, answer)
         if ended is not None:
@@ -184,7 +189,7 @@
         if self.counts is not None:
             self.counts.arrived(offer.destination)
         self.fresh.append(message)
-        self.fresh_bytes += RECORD_ROOM + len(offer.body)
+        self.fresh_bytes += RECORD_ROOM + size
         self.note(
             api.Arrived(
                 message.number,
@@ -393,7 +398,17 @@
                 message.out.add(attempt)
                 stop_at = min(stop_at_ms / 1000.0, message.due)
                 sends.setdefault(endpoint, []).append(
-                    Attempt(number, attempt, kept.id, kept.body, stop_at, message.due)
+                    Attempt(
+                        number,
+                        attempt,
+                        kept.id,
+                        kept.body,
+                        stop_at,
+                        message.due,
+                        kept.cls,
+                        kept.attributes,
+                        kept.deadline,
+                    )
                 )
             case api.Fail(number):
                 self.answer_end(self.messages[number], "dead", 0.0)
--- /dev/null
+++ b/rushhitch/partners/cloudevents.py
@@ -0,0 +1,105 @@
+"""CloudEvents to partners (HTTP binding 1.0.2; answers by "HTTP 1.1 Web Hooks for Event Delivery", section
+2.2, and RFC 9110). Imported only where a destination is set to it.
+
+An event that came in as one goes on with all its attributes; others become events of their class's type.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from datetime import UTC, datetime
+from email.utils import parsedate_to_datetime
+
+import h11
+import msgspec
+
+from crowpier.interface import Outcome
+from rushhitch.cloudevents.events import SPECVERSION, Event
+from rushhitch.cloudevents.http import encode_batch, encode_binary, encode_structured
+from rushhitch.partners.codec import Attempt, Ends, Written
+
+MODES = ("binary", "structured", "batch")
+MOST_WAIT_MS = 86_400_000.0  # a day: a longer wait is taken for a fault, and would bar a partner for good
+DELIVERED = re.compile(rb"HTTP/1\.[01] 2\d\d( [^\n]*)?\r?\n")
+PLAIN = "application/octet-stream"  # nothing is known of a body that came in without its type
+REFUSED = (429, 503)  # it takes no more for now: never ran
+MAY_HAVE_RUN = (409, 423, 424)  # a conflict may be with this very event
+_read = msgspec.json.Decoder().decode
+
+
+class CloudEvents:
+    """See `Codec`. `types` is the event type by class, for messages that are no events; a class that it does
+    not name is the type itself."""
+
+    def __init__(self, mode: str, source: str, types: Mapping[str, str], path: str = "/") -> None:
+        self.mode, self.source, self.types, self.path = mode, source, types, path
+
+    def batch(self, most: int) -> int:
+        return most if self.mode == "batch" else 1
+
+    def write(self, attempts: list[Attempt], left_ms: float) -> Written:
+        events = [self.event_of(attempt) for attempt in attempts]
+        if self.mode == "binary":
+            headers, body = encode_binary(events[0])
+        elif self.mode == "structured":
+            headers, body = encode_structured(events[0])
+        else:
+            headers, body = encode_batch(events)
+        return Written(self.path, [(name.encode(), value.encode("latin-1")) for name, value in headers], body)
+
+    def event_of(self, attempt: Attempt) -> Event:
+        """The same event for each attempt of a message, so that the partner can tell a repeat by its id."""
+        if attempt.attributes:
+            attributes = _read(attempt.attributes)
+            empty = not attempt.body and "datacontenttype" not in attributes
+            return Event(attributes, None if empty else attempt.body)
+        attributes = {
+            "specversion": SPECVERSION,
+            "id": attempt.id.decode("latin-1"),
+            "source": self.source,
+            "type": self.types.get(attempt.cls, attempt.cls),
+            "datacontenttype": PLAIN,
+        }
+        if attempt.deadline:
+            until = datetime.fromtimestamp(attempt.deadline, UTC)
+            attributes["expirytime"] = until.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+        return Event(attributes, attempt.body)
+
+    def wait_ms(self, response: h11.Response, now: float) -> float:
+        """Of `Retry-After` on a refusal: seconds or a date (RFC 9110, section 10.2.3); none if it makes no
+        sense or has passed."""
+        if response.status_code not in REFUSED:
+            return 0.0
+        for name, value in response.headers:
+            if name == b"retry-after":
+                return retry_after_ms(value.decode("latin-1").strip(), now)
+        return 0.0
+
+    def ends(self, response: h11.Response, body: bytes, ids: list[bytes]) -> Ends:
+        return dict.fromkeys(ids, outcome(response.status_code))
+
+    def delivered(self, head: bytes) -> bool:
+        return DELIVERED.match(head) is not None
+
+
+def retry_after_ms(value: str, now: float) -> float:
+    if value.isascii() and value.isdecimal():
+        return min(float(value[:12]) * 1000.0, MOST_WAIT_MS)
+    try:
+        at = parsedate_to_datetime(value)
+    except (ValueError, TypeError, OverflowError):
+        return 0.0
+    at = at if at.tzinfo else at.replace(tzinfo=UTC)
+    return min(max((at.timestamp() - now) * 1000.0, 0.0), MOST_WAIT_MS)
+
+
+def outcome(status: int) -> tuple[Outcome, bool]:
+    """What a status says of an event; the table is in docs/operators/cloudevents.md."""
+    if 200 <= status < 300:
+        return Outcome.OK, True
+    if status in REFUSED:
+        return Outcome.FULL, False
+    if status in MAY_HAVE_RUN or status >= 500:
+        return Outcome.ERROR, False
+    return Outcome.MOOT, False  # 3xx and 4xx: it was not handled; redirects are not followed
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -9,7 +9,8 @@
 
 from crowpier.interface import Outcome, State
 from rushhitch import connection, endpoints
-from rushhitch.endpoints import Attempt, Endpoints, Place
+from rushhitch.endpoints import Endpoints, Place
+from rushhitch.partners.codec import Attempt
 
 
 class Caller:
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -105,6 +105,8 @@
     assert told == Events(
         ("127.0.0.1", 8080), {"com.example.paid": "pay"}, "subject", {"bank-a": 3}, {"pay": 800.0}
     )
+    told = parse_own('[cloudevents]\npartners = { 3 = "batch" }\nsource = "/a"\npath = "/in"\n', "x").events
+    assert told == Events(partners={3: "batch"}, source="/a", path="/in")
 
 
 @pytest.mark.parametrize(
@@ -118,6 +120,11 @@
             EVENTS + "destinations = { a = -1 }\n",
             "x:4: destinations: the number of a destination is 0 or more",
         ),
+        (EVENTS + 'partners = { 3 = "xml" }\n', "x:4: partners: 3 = 'xml' must be a number = one of binary"),
+        (EVENTS + 'partners = { a = "batch" }\n', "x:4: partners: a = 'batch' must be a number"),
+        (EVENTS + 'source = "a b"\n', "x:4: source must be a URI reference, not 'a b'"),
+        (EVENTS + 'path = "in"\n', "x:4: path must begin with / and hold no space, not 'in'"),
+        (EVENTS.replace('listen = "127.0.0.1:8080"', "").lstrip(), "x:1: listen must be of the form"),
         (EVENTS + "usual_ms = { pay = 0 }\n", "x:4: usual_ms: milliseconds from 1 to 1e9"),
     ],
 )
--- /dev/null
+++ b/tests/test_partners_cloudevents.py
@@ -0,0 +1,130 @@
+"""The CloudEvents codec for partners: what is written, and what each answer means."""
+
+import json
+
+import h11
+import pytest
+
+from crowpier.interface import Outcome
+from rushhitch.cloudevents.events import Event
+from rushhitch.cloudevents.http import decode
+from rushhitch.partners.cloudevents import MODES, MOST_WAIT_MS, CloudEvents, retry_after_ms
+from rushhitch.partners.codec import Attempt
+
+ATTRIBUTES = {"specversion": "1.0", "id": "ä 1", "source": "/books", "type": "com.example.paid", "seq": 7}
+NOW = 1_790_000_000.0  # 2026-09-21T14:13:20Z
+
+
+def codec(mode="binary"):
+    return CloudEvents(mode, "/rushhitch", {"pay": "com.example.paid"}, "/in")
+
+
+def attempt(attributes=ATTRIBUTES, body=b'{"a": 1}', deadline=0.0):
+    told = json.dumps(attributes).encode() if attributes else b""
+    return Attempt(1, 0, b"m1", body, 0.0, cls="pay", attributes=told, deadline=deadline)
+
+
+def read_back(written):
+    headers = [(name.decode().lower(), value.decode("latin-1")) for name, value in written.headers]
+    return decode(headers, written.body)
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_an_event_goes_on_with_its_attributes_and_its_bytes(mode):
+    written = codec(mode).write([attempt()], 1000.0)
+    assert written.target == "/in"
+    told, (event,) = read_back(written)
+    assert told == mode and isinstance(event, Event)
+    shown = {name: event.text(name) for name in ATTRIBUTES}
+    assert shown == {name: str(value) for name, value in ATTRIBUTES.items()}
+    assert event.data == b'{"a": 1}'
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_a_message_that_is_no_event_becomes_one_that_tells_itself(mode):
+    written = codec(mode).write([attempt(None, b"\x00\xff", NOW)], 1000.0)
+    _, (event,) = read_back(written)
+    assert event.data == b"\x00\xff"
+    assert event.attributes == {
+        "specversion": "1.0",
+        "id": "m1",
+        "source": "/rushhitch",
+        "type": "com.example.paid",
+        "datacontenttype": "application/octet-stream",
+        "expirytime": "2026-09-21T14:13:20.000Z",
+    }
+
+
+def test_each_attempt_writes_the_same_event():
+    assert codec().write([attempt()], 1000.0) == codec().write([attempt()], 5.0)
+
+
+def test_an_event_without_data_stays_without_data():
+    _, (event,) = read_back(codec("structured").write([attempt(body=b"")], 1000.0))
+    assert event.data is None
+
+
+def test_a_batch_holds_all_and_its_answer_counts_for_all():
+    both = [attempt(), attempt(ATTRIBUTES | {"id": "2"})]
+    _, events = read_back(codec("batch").write(both, 1000.0))
+    assert [event.text("id") for event in events] == ["ä 1", "2"]
+    response = h11.Response(status_code=204, headers=[])
+    assert codec("batch").ends(response, b"", [b"a", b"b"]) == dict.fromkeys((b"a", b"b"), (Outcome.OK, True))
+
+
+def test_a_call_holds_several_in_batched_mode_only():
+    assert [codec(mode).batch(20) for mode in MODES] == [1, 1, 20]
+
+
+@pytest.mark.parametrize(
+    ("statuses", "end"),
+    [
+        ((200, 201, 202, 204), (Outcome.OK, True)),
+        ((429, 503), (Outcome.FULL, False)),
+        ((301, 307, 308, 400, 401, 403, 404, 408, 410, 413, 415, 422), (Outcome.MOOT, False)),
+        ((409, 423, 424, 500, 502, 504, 599), (Outcome.ERROR, False)),
+    ],
+)
+def test_each_status_has_its_meaning(statuses, end):
+    for status in statuses:
+        response = h11.Response(status_code=status, headers=[])
+        assert codec().ends(response, b"", [b"m1"]) == {b"m1": end}, status
+
+
+@pytest.mark.parametrize(
+    ("value", "ms"),
+    [
+        ("2", 2_000.0),
+        ("0", 0.0),
+        ("-1", 0.0),
+        ("1.5", 0.0),
+        ("soon", 0.0),
+        ("", 0.0),
+        ("99999999999999999999", MOST_WAIT_MS),
+        ("Mon, 21 Sep 2026 14:13:25 GMT", 5_000.0),
+        ("Monday, 21-Sep-26 14:13:25 GMT", 5_000.0),
+        ("Mon Sep 21 14:13:25 2026", 5_000.0),
+        ("Mon, 21 Sep 2020 14:13:25 GMT", 0.0),
+        ("Mon, 21 Sep 2099 14:13:25 GMT", MOST_WAIT_MS),
+        ("Mon, 99 Sep 2026 14:13:25 GMT", 0.0),
+    ],
+)
+def test_a_told_wait_is_read_in_seconds_and_as_a_date(value, ms):
+    assert retry_after_ms(value, NOW) == ms
+    for status, told in ((429, ms), (503, ms), (202, 0.0), (301, 0.0)):
+        response = h11.Response(status_code=status, headers=[("Retry-After", value)])
+        assert codec().wait_ms(response, NOW) == told
+
+
+@pytest.mark.parametrize(
+    ("head", "delivered"),
+    [
+        (b"HTTP/1.1 202 Accepted\r\n", True),
+        (b"HTTP/1.1 204\r\nrubbish", True),
+        (b"HTTP/1.1 20", False),
+        (b"HTTP/1.1 500 x\r\n", False),
+        (b"HTTP/1.1 2020 x\r\n", False),
+    ],
+)
+def test_a_delivery_counts_from_its_first_line_on(head, delivered):
+    assert codec().delivered(head) is delivered
--- /dev/null
+++ b/tests/test_protocols.py
@@ -0,0 +1,181 @@
+"""One suite, run once for each front with each partner's protocol: the same faults must give the same final
+answers and as many sends, message by message."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+from doubles import Client, Peer, run
+from test_fronts_cloudevents import EVENT, RULES, Browser
+from test_node import Bench
+
+from rushhitch import connection
+from rushhitch.cloudevents.http import decode
+from rushhitch.fronts.cloudevents import front
+from rushhitch.fronts.listener import Clients
+from rushhitch.fronts.resp2 import Resp2
+from rushhitch.partners.cloudevents import CloudEvents
+
+FRONTS = ("resp2", "binary", "structured")
+PARTNERS = ("platform", "binary", "structured", "batch")
+# What befalls the attempts of a message, one after another; its end, and how many attempts reach the partner.
+SCRIPTS = {
+    "delivered": ("pay", ["deliver"], "delivered", 1),
+    "refused, then delivered": ("pay", ["refuse", "deliver"], "delivered", 2),
+    "refused with a wait, then delivered": ("pay", ["wait", "deliver"], "delivered", 2),
+    "failed, may have run": ("pay", ["error"], "dead", 1),
+    "dropped after the body had left": ("pay", ["reset"], "dead", 1),
+    "ended without an answer": ("pay", ["end"], "dead", 1),
+    "spoilt answer": ("pay", ["spoil"], "dead", 1),
+    "safe: failed, then delivered": ("note", ["error", "deliver"], "delivered", 2),
+    "safe: dropped, then delivered": ("note", ["reset", "deliver"], "delivered", 2),
+    "safe: spoilt, then delivered": ("note", ["spoil", "deliver"], "delivered", 2),
+    "safe: refused, failed, delivered": ("note", ["refuse", "error", "deliver"], "delivered", 3),
+    "cut off once it was delivered": ("pay", ["cut"], "delivered", 1),
+    "dropped before the last byte": ("pay", ["early", "deliver"], "delivered", 1),
+}
+
+
+class Partner(Peer):
+    """Its first connections may end while the request comes in."""
+
+    early = 0
+
+    async def serve(self, reader, writer):
+        if self.early:
+            self.early -= 1
+            await reader.read(1)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+            return
+        with contextlib.suppress(asyncio.CancelledError):
+            await super().serve(reader, writer)
+
+
+def act(request, what, events):
+    """What the partner does with one attempt, in its protocol."""
+    match what:
+        case "deliver":
+            request.answer(202 if events else 200)
+        case "cut":
+            line = b"HTTP/1.1 202 Accepted\r\n" if events else b"HTTP/1.1 200 OK\r\n"
+            request.writer.write(line + b"Content-Length: 5\r\n\r\n")
+            request.writer.close()
+        case "refuse":
+            request.answer(429 if events else 503)
+        case "wait":
+            told = {"Retry_After": "1"} if events else {"X_Come_Back_Ms": "1000"}
+            request.answer(503 if events else 429, **told)
+        case "error":
+            request.answer(500)
+        case "reset":
+            request.reset()
+        case "end":
+            request.writer.close()
+        case "spoil":
+            request.writer.write(b"\x00\xff no answer\r\n\r\n")
+
+
+async def hand_in(way, clients, addresses, cls, body):
+    if way == "resp2":
+        client = Client(*await asyncio.open_connection(*addresses[0]))
+        assert await client.add(b"m1", cls, 6000, body) == b"+OK\r\n"
+        return
+    client = Browser(*await asyncio.open_connection(*addresses[1]))
+    kind = f"com.example.{cls}"
+    if way == "binary":
+        client.binary(body, type=kind)
+    else:
+        client.structured(type=kind, datacontenttype="text/plain", data=body.decode())
+    assert (await client.answer())[0] == 202
+
+
+async def play(folder, way, speaks, cls, script, monkeypatch):
+    """The end of one message, the requests that reached the partner whole, and what was in them."""
+    folder.mkdir()
+    bench = Bench()
+    peer = Partner()
+    monkeypatch.setattr("test_node.Peer", lambda: peer)
+    peer.early = script.count("early")
+    await bench.start(folder)
+    node = bench.node
+    events = speaks != "platform"
+    if events:
+        types = {"pay": "com.example.pay", "note": "com.example.note"}
+        node.codecs = {7: CloudEvents(speaks, "/rushhitch", types)}
+        node.listed({"version": 42, "full": False, "servers": [bench.row]})
+    clients = Clients(node, 16)
+    addresses = [
+        await clients.listen(("127.0.0.1", 0), Resp2),
+        await clients.listen(("127.0.0.1", 0), front(RULES)),
+    ]
+    try:
+        await hand_in(way, clients, addresses, cls, b"hello")
+        seen = []
+        for what in script:
+            if what != "early":
+                request = await peer.next()
+                seen.append(request)
+                act(request, what, events)
+        await node.idle.wait()
+        end = "delivered" if bench.ends.empty() else bench.ends.get_nowait()[2]
+    finally:
+        clients.stop_listening()
+        bench.journal.close()
+    return end, seen
+
+
+def identity(request, speaks):
+    """Which message the partner takes it for, and the data that came with it."""
+    if speaks == "platform":
+        return request.headers["x-correlation-id"], request.body
+    told, (event,) = decode(list(request.headers.items()), request.body)
+    assert told == speaks
+    return event.identity, event.data
+
+
+@pytest.mark.parametrize("speaks", PARTNERS)
+@pytest.mark.parametrize("way", FRONTS)
+@pytest.mark.parametrize("name", SCRIPTS)
+def test_final_answers_and_resends_are_the_same_by_every_protocol(tmp_path, monkeypatch, name, way, speaks):
+    cls, script, expected, sends = SCRIPTS[name]
+    if "early" in script:
+        monkeypatch.setattr(connection, "LOOK_S", 0.5)
+        monkeypatch.setattr(connection, "LOOK_TOP_S", 0.5)
+
+    async def work():
+        end, seen = await play(tmp_path / "n", way, speaks, cls, script, monkeypatch)
+        assert (end, len(seen)) == (expected, sends)
+        told = {identity(request, speaks) for request in seen}
+        assert len(told) == 1, "its attempts are not the same message"
+        ((who, data),) = told
+        assert data == b"hello"
+        if speaks != "platform":
+            assert who == (("/rushhitch", "m1") if way == "resp2" else (EVENT["source"], EVENT["id"]))
+
+    run(work())
+
+
+def test_a_partner_that_says_gone_or_moves_away_gets_the_event_again_but_not_for_ever(tmp_path, monkeypatch):
+    # 202 to others before; now 410 and a redirect: neither ran, and the redirect is not followed.
+    async def work():
+        peer = Partner()
+        monkeypatch.setattr("test_node.Peer", lambda: peer)
+        bench = await Bench().start(tmp_path)
+        bench.node.codecs = {7: CloudEvents("binary", "/rushhitch", {})}
+        bench.node.listed({"version": 42, "full": False, "servers": [bench.row]})
+        clients = Clients(bench.node, 16)
+        address = await clients.listen(("127.0.0.1", 0), Resp2)
+        client = Client(*await asyncio.open_connection(*address))
+        assert await client.add(b"m1", "pay", 24_000, b"hello") == b"+OK\r\n"
+        for attempt in range(bench.node.settings.max_attempts):
+            request = await peer.next()
+            request.answer(*((410,) if attempt % 2 else (307,)), Location="http://127.0.0.1:1/")
+        assert (await bench.ends.get())[2] == "dead" and peer.requests.empty()
+        clients.stop_listening()
+        bench.journal.close()
+
+    run(work())
