--- a/lab/clients.py
+++ b/lab/clients.py
@@ -9,7 +9,9 @@
 import socket
 import zlib
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
 from typing import Any
 
 from lab.history import History
@@ -17,6 +19,7 @@
 ANSWER_S = 0.4  # a client waits so long for its answer
 AGAIN_S = (0.34, 1.6)  # after no answer: to hand the message in anew
 RETRY_S = (0.1, 0.5)  # after a refusal that tells no time
+SPEAKS = ("resp2", "binary", "structured")
 MOST_IDLE = 8  # connections kept between requests, by dispatcher
 
 
@@ -34,13 +37,14 @@
     first: str = ""
     tries: int = 0
     again: bool = False
+    wire: str = ""  # the id that an event bears
 
 
 class ClientConnection(asyncio.Protocol):
     """One request at a time."""
 
-    def __init__(self, clients: Clients, dispatcher: str) -> None:
-        self.clients, self.dispatcher = clients, dispatcher
+    def __init__(self, clients: Clients, dispatcher: str, speaks: str = "resp2") -> None:
+        self.clients, self.dispatcher, self.speaks = clients, dispatcher, speaks
         self.transport: Any = None
         self.id = ""
         self.ask: Ask | None = None
@@ -53,13 +57,16 @@
 
     def send(self, name: str, ask: Ask) -> None:
         self.id, self.ask, self.answer = name, ask, b""
+        self.write(ask)
+        self.timer = self.clients.loop.call_later(ANSWER_S, self.late)
+
+    def write(self, ask: Ask) -> None:
         fields = f"c={ask.cls},d={ask.left_ms:.0f},dest={ask.dest}"
         if ask.tries:
             fields += ",again=1" if ask.again else ",r=1"
-        words = (b"OUT.ADD", b"%016x" % ask.key, name.encode(), fields.encode(), ask.body)
+        words = (b"OUT.ADD", b"%016x" % ask.key, self.id.encode(), fields.encode(), ask.body)
         parts = [b"*5\r\n"] + [b"$%d\r\n%s\r\n" % (len(word), word) for word in words]
         self.transport.write(b"".join(parts))
-        self.timer = self.clients.loop.call_later(ANSWER_S, self.late)
 
     def data_received(self, data: bytes) -> None:
         self.answer += data
@@ -91,24 +98,33 @@
 class Clients:
     """All clients of a run. They go round the dispatchers that serve."""
 
-    def __init__(self, history: History, seed: int, retries: int = 1) -> None:
-        self.history, self.retries = history, retries
+    def __init__(
+        self, history: History, seed: int, retries: int = 1, speaks: Sequence[str] = SPEAKS[:1]
+    ) -> None:
+        self.history, self.retries, self.speaks = history, retries, itertools.cycle(speaks)
+        self.event_ports: dict[str, int] = {}
         self.loop = asyncio.get_running_loop()
         self.chance = random.Random(f"clients {seed}")
         self.ids = itertools.count(1)
         self.ports: dict[str, int] = {}  # of the dispatchers that are thought to serve
-        self.idle: dict[str, deque[ClientConnection]] = {}
+        self.idle: dict[tuple[str, str], deque[ClientConnection]] = {}  # by dispatcher and protocol
         self.order = 0
         self.out: dict[str, Ask] = {}  # taken on, by id: a notice may send it back
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def serves(self, dispatcher: str, port: int | None) -> None:
+    def serves(self, dispatcher: str, port: int | None, event_port: int = 0) -> None:
         """The front has noticed that a dispatcher is up, or (None) that it is not."""
         self.ports.pop(dispatcher, None)
-        for connection in self.idle.pop(dispatcher, ()):
-            connection.transport.abort()
+        for speaks in SPEAKS:
+            for connection in self.idle.pop((dispatcher, speaks), ()):
+                connection.transport.abort()
         if port is not None:
-            self.ports[dispatcher] = port
+            self.ports[dispatcher], self.event_ports[dispatcher] = port, event_port
+
+    def wall(self, left_ms: float) -> str:
+        """That moment from now, as an event tells it (RFC 3339)."""
+        at = datetime.now(UTC) + timedelta(milliseconds=left_ms)
+        return at.isoformat(timespec="milliseconds").replace("+00:00", "Z")
 
     def hand_in(self, ask: Ask) -> None:
         task = self.loop.create_task(self.run(ask))
@@ -116,7 +132,11 @@
         task.add_done_callback(self.tasks.discard)
 
     async def run(self, ask: Ask) -> None:
-        name = f"m{next(self.ids)}"
+        name, speaks = f"m{next(self.ids)}", next(self.speaks)
+        if speaks != "resp2":
+            from lab.events import SOURCE, name_of
+
+            ask.wire, name = name, name_of(SOURCE, name)
         ask.origin, ask.first = ask.origin or name, ask.first or name
         if not self.ports:
             await asyncio.sleep(0.1)
@@ -136,34 +156,38 @@
             dispatcher=dispatcher,
         )
         try:
-            connection = await self.connection(dispatcher)
+            connection = await self.connection(dispatcher, speaks)
         except (OSError, KeyError):
             self.unanswered(name, ask, dispatcher, "none")
             return
         connection.send(name, ask)
 
-    async def connection(self, dispatcher: str) -> ClientConnection:
-        idle = self.idle.setdefault(dispatcher, deque())
+    async def connection(self, dispatcher: str, speaks: str) -> ClientConnection:
+        idle = self.idle.setdefault((dispatcher, speaks), deque())
         while idle:
             connection = idle.pop()
             if not connection.transport.is_closing():
                 return connection
-        port = self.ports[dispatcher]
+        port, made = self.ports[dispatcher], ClientConnection
+        if speaks != "resp2":
+            from lab.events import EventConnection
+
+            port, made = self.event_ports[dispatcher], EventConnection
         _, connection = await asyncio.wait_for(
-            self.loop.create_connection(lambda: ClientConnection(self, dispatcher), "127.0.0.1", port),
+            self.loop.create_connection(lambda: made(self, dispatcher, speaks), "127.0.0.1", port),
             ANSWER_S,
         )
         return connection
 
     def dropped(self, connection: ClientConnection) -> None:
-        idle = self.idle.get(connection.dispatcher)
+        idle = self.idle.get((connection.dispatcher, connection.speaks))
         if idle is not None and connection in idle:
             idle.remove(connection)
 
     # Answers
 
     def answered(self, connection: ClientConnection, name: str, ask: Ask, answer: bytes) -> None:
-        idle = self.idle.setdefault(connection.dispatcher, deque())
+        idle = self.idle.setdefault((connection.dispatcher, connection.speaks), deque())
         if len(idle) < MOST_IDLE:
             idle.append(connection)
         else:
--- a/lab/partners.py
+++ b/lab/partners.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from lab.events import messages as event_messages
 from lab.history import ACCEPTED, History
 from lab.http import HttpConnection, Request, port_of, serve
 from lab.limits import Health, Limit
@@ -43,6 +44,7 @@
     spread: float = 0.3  # of a call's time: sigma of its logarithm
     idle_ms: float = 10_000.0  # a connection that stood idle so long is closed
     connections: int = 200  # by endpoint; one more is reset
+    speaks: str = "platform"  # or "binary", "structured", "batch": CloudEvents
     deferred: float = 0.0  # share of a batch's messages that it defers, and that fail
     fault: float = 0.0
 
@@ -213,7 +215,8 @@
         if request.target == b"/alive":
             request.connection.answer(503 if endpoint.lane.faults.outage else 200)
             return
-        messages = self.messages(request)
+        events = endpoint.spec.speaks != "platform"
+        messages = event_messages(request) if events else self.messages(request)
         if messages is None:
             request.connection.answer(400)
             return
@@ -271,9 +274,13 @@
     def turn_away(self, endpoint: Endpoint, request: Request, call: int, ids: list[str], wait: float) -> None:
         told = self.chance.random() < endpoint.spec.tells
         wait = math.ceil(max(wait, 1.0)) if told else 0
-        self.reply(call, ids, "turned away", wait)
         request.connection.state = None
-        if told:
+        if told and endpoint.spec.speaks != "platform":
+            wait = math.ceil(wait / 1000.0) * 1000
+        self.reply(call, ids, "turned away", wait)
+        if told and endpoint.spec.speaks != "platform":
+            request.connection.answer(429, b"", b"Retry-After: %d\r\n" % (wait // 1000))
+        elif told:
             request.connection.answer(429, b"", b"X-Come-Back-Ms: %d\r\n" % wait)
         else:
             request.connection.answer(503)
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -30,7 +30,7 @@
         self.state.mkdir(parents=True, exist_ok=True)
         self.process: asyncio.subprocess.Process | None = None
         self.reading: asyncio.Task[None] | None = None
-        self.port = 0
+        self.port = self.event_port = 0
         self.ready = asyncio.Event()
         self.room = folder / "room"  # holds the bytes that its disk has, where the scenario fills it
         self.log = (folder / "log").open("ab")
@@ -40,7 +40,7 @@
         self.crashed = False
         self.wanted = False
         self.known: Callable[[str], dict[str, Any]] = lambda name: {"version": 0, "servers": []}
-        self.serves: Callable[[str, int | None], None] = lambda name, port: None
+        self.serves: Callable[..., None] = lambda name, port, event_port=0: None
 
     async def start(self) -> None:
         """Start it and wait until it serves."""
@@ -73,12 +73,14 @@
             log = Path(self.log.name).read_text(errors="replace")[-600:]
             raise RuntimeError(f"{self.name} did not start; its log ends: {log}")
         self.history.add("ready", dispatcher=self.name)
-        self.serves(self.name, self.port)
+        self.serves(self.name, self.port, self.event_port)
 
     async def read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr is not None
         while line := await process.stderr.readline():
             self.log.write(line)
+            if b"CloudEvents are taken on " in line:
+                self.event_port = int(line.rpartition(b":")[2])
             if b" is ready on " in line:
                 self.port = int(line.split(b" is ready on ")[1].split(b",")[0].rpartition(b":")[2])
                 self.ready.set()
--- a/lab/run.py
+++ b/lab/run.py
@@ -17,7 +17,7 @@
 
 from crowpier.benchlink import settings_of
 from crowpier.interface import Settings
-from lab import report
+from lab import events, report
 from lab.clients import Ask, Clients
 from lab.directory import Directory
 from lab.history import History
@@ -75,7 +75,7 @@
         self.chance = random.Random(f"load {scenario.seed}")
         self.specs = {spec.name: spec for spec in scenario.partners}
         self.factors = dict.fromkeys(self.specs, 1.0)
-        self.clients = Clients(self.history, scenario.seed, scenario.retries)
+        self.clients = Clients(self.history, scenario.seed, scenario.retries, scenario.clients)
         cold = {
             "cold_from": self.settings.cold_from,
             "warm_ms": self.settings.warm_within_ms,
@@ -151,6 +151,9 @@
     def toml(self, ports: dict[str, int]) -> str:
         """A process's own settings; with planners at these ports, if any."""
         journal = f'[journal]\nsync = "{self.scenario.sync}"\n'
+        modes = {spec.dest: spec.speaks for spec in self.scenario.partners if spec.speaks != "platform"}
+        if modes or set(self.scenario.clients) != {"resp2"}:
+            journal += events.toml([cls.name for cls in self.scenario.classes], modes)
         if not ports:
             return journal
         secret = self.folder / "secret"
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -113,6 +113,7 @@
     body: tuple[int, int] = (100, 600)  # bytes of a body, from and to
     retries: int = 1
     sync: str = "none"
+    clients: tuple[str, ...] = ("resp2",)  # what they speak, in turn: "resp2", "binary", "structured"
     copies: bool = False  # second copies of safe messages, where the rules allow them
 
     @property
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -328,3 +328,63 @@
     monkeypatch.setattr("lab.processes.PlannerProcess.start", absent)
     played = play(parse(PLANNED.replace("seconds = 7.0", "seconds = 3.0"), "absent"), folder=tmp_path)
     assert played.sound and played.total.open == 0 and played.total.in_time > 0.3 * played.total.asked
+
+
+MIXED = (
+    SHORT.replace("seconds = 4.0", 'seconds = 6.0\nclients = ["resp2", "binary", "structured"]').replace(
+        'name = "firm"\n', 'name = "firm"\nspeaks = "structured"\n'
+    )
+    + """
+[[partner]]
+name = "office"
+dest = 3
+per_s = 20.0
+speaks = "binary"
+load = { note = 10.0, pay = 10.0 }
+[[partner]]
+name = "chamber"
+dest = 4
+kind = "gathers"
+batch = 10
+per_s = 15.0
+speaks = "batch"
+load = { note = 10.0, pay = 10.0 }
+"""
+)
+MIXED_FAULTS = """
+[[fault]]
+at = 1.0
+what = "partner"
+on = "office"
+seconds = 2.0
+reset = 0.2
+spoil = 0.1
+cut = 0.1
+fail = 0.1
+[[fault]]
+at = 1.5
+what = "partner"
+on = "firm"
+shut = true
+seconds = 1.0
+[[fault]]
+at = 2.0
+what = "kill"
+on = "d0"
+seconds = 0.4
+[[fault]]
+at = 3.5
+what = "restart"
+on = "d0"
+"""
+
+
+def test_on_a_mixed_day_of_all_protocols_the_rules_are_kept(tmp_path):
+    played = play(parse(MIXED + MIXED_FAULTS, "mixed"), folder=tmp_path)
+    assert played.sound and played.total.open == 0, "\n".join(map(str, [*played.crashed, *played.broken]))
+    assert played.total.in_time + played.total.late > 0.3 * played.total.asked > 60
+    events = played.history.events
+    names = {event["id"] for event in events if event["what"] == "answer" and event["answer"] == "ok"}
+    assert any(len(name) == 32 for name in names) and any(name.startswith("m") for name in names)
+    served = {event["endpoint"] for event in events if event["what"] == "call"}
+    assert served >= {"bank-1", "firm-1", "office-1", "chamber-1"}
