--- a/lab/events.py
+++ b/lab/events.py
@@ -17,8 +17,8 @@
 
 
 def name_of(source: str, event_id: str) -> str:
-    """The name of an event in the history: what a dispatcher calls it, or its id where a dispatcher made it of
-    another message."""
+    """The name of an event in the history: what a dispatcher calls it, or its id where a dispatcher made it
+    of another message."""
     return digest(f"{source}\0{event_id}").hex() if source == SOURCE else event_id
 
 
--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -142,6 +142,7 @@
         notices.add,
         configuration.sockets - most_clients - OWN_FILES,
         codecs(configuration.own),
+        configuration.own.events.remember_s if configuration.own.events is not None else 0.0,
     )
     planners = None
     if forward:
--- a/rushhitch/cloudevents/http.py
+++ b/rushhitch/cloudevents/http.py
@@ -39,6 +39,7 @@
 _read_array = msgspec.json.Decoder(list[msgspec.Raw]).decode
 _read = msgspec.json.Decoder().decode
 _write = msgspec.json.Encoder().encode
+PLAIN = re.compile(r"[!#$&-~]*")  # stands as it is in a header: most values do
 PERCENT = re.compile(r"%([0-9A-Fa-f]{2})")
 QUOTED = re.compile(r'"((?:[^"\\]|\\.)*)"', re.DOTALL)
 
@@ -86,6 +87,8 @@
 def unescaped(name: str, value: str) -> str:
     """A header's value as text (HTTP binding, section 3.1.3.2)."""
     value = value.strip(" \t")
+    if PLAIN.fullmatch(value):
+        return value
     if quoted := QUOTED.fullmatch(value):
         value = re.sub(r"\\(.)", r"\1", quoted[1], flags=re.DOTALL)
     if re.search(r"%(?![0-9A-Fa-f]{2})", value):
@@ -99,6 +102,8 @@
 
 def escaped(value: str) -> str:
     """Text as a header's value: space, quote, percent and all that is not printable ASCII are encoded."""
+    if PLAIN.fullmatch(value):
+        return value
     return "".join(
         chr(byte) if 0x21 <= byte <= 0x7E and byte not in b'"%' else f"%{byte:02X}"
         for byte in value.encode("utf-8")
--- a/rushhitch/config/own.py
+++ b/rushhitch/config/own.py
@@ -36,6 +36,7 @@
     )  # by its value; none: the value is the number
     usual_ms: Mapping[str, float] = field(default_factory=dict)  # by class, of events without expirytime
     partners: Mapping[int, str] = field(default_factory=dict)  # mode by destination, one of `MODES`
+    remember_s: float = 600.0  # past its time an event is known for so long
     source: str = "/rushhitch"  # of messages that did not come in as events
     path: str = "/"  # of the requests to partners
 
@@ -88,6 +89,7 @@
             "partners",
             "source",
             "path",
+            "remember_s",
         },
         "planning": {"planners", "secret_file", "cold_from", "warm_ms", "fall_multiple"},
     }
@@ -199,6 +201,9 @@
             raise fault(
                 "partners", f"partners: {number} = {mode!r} must be a number = one of {', '.join(MODES)}"
             )
+    remember = told.get("remember_s", 600.0)
+    if isinstance(remember, bool) or not isinstance(remember, (int, float)) or not 0 <= remember <= 1e6:
+        raise fault("remember_s", f"remember_s must be seconds from 0 to 1e6, not {remember!r}")
     source, path = told.get("source", "/rushhitch"), told.get("path", "/")
     if not isinstance(source, str) or not re.fullmatch(r"[\x21-\x7e]+", source):
         raise fault("source", f"source must be a URI reference, not {source!r}")
@@ -211,6 +216,7 @@
         destinations,
         {key: float(ms) for key, ms in usual.items()},
         {int(number): mode for number, mode in partners.items()},
+        float(remember),
         source,
         path,
     )
--- a/rushhitch/fronts/ended.py
+++ b/rushhitch/fronts/ended.py
@@ -7,8 +7,8 @@
 
 from rushhitch.fronts.taker import Reply
 
-KEEP_S = 600.0  # an identity is remembered for so long: a client that asks again does so within minutes
-MOST = 20_000  # of them, 6 MB
+KEEP_S = 600.0  # past its time an event is remembered for so long: who asks again does so within minutes
+MOST = 100_000  # of them, 30 MB
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,16 +34,21 @@
         self.ends.move_to_end(name)
         self.numbers[end.number] = name
 
+    def full(self, held: int) -> bool:
+        """Whether no further event may be taken on beside so many that are held: each will need a place.
+        Guards against forgetting one early to make room, which then might run again."""
+        return len(self.ends) + held >= self.most
+
     def get(self, name: bytes, now: float) -> Reply | None:
         found = self.ends.get(name)
         return found.reply if found is not None and now < found.until else None
 
     def forget(self, now: float) -> list[int]:
-        """The numbers of those whose time is over, and of the oldest where there are too many."""
+        """The numbers of those whose time is over, in the order in which they came."""
         gone = []
         while self.ends:
             oldest = next(iter(self.ends.values()))
-            if len(self.ends) <= self.most and now < oldest.until:
+            if now < oldest.until:
                 break
             self.ends.popitem(last=False)
             del self.numbers[oldest.number]
--- a/rushhitch/journal/inspect.py
+++ b/rushhitch/journal/inspect.py
@@ -21,6 +21,8 @@
 def owed(kept: Kept) -> str:
     if kept.notice is not None:
         result, wait = kept.notice
+        if result in ("delivered", "failed"):
+            return f"nothing: remembered as {result}"
         return f"notice {result}" + (f", come back after {wait:.0f} ms" if wait else "")
     return "its end"
 
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -32,7 +32,7 @@
 ANSWER_MARGIN_S = 0.1  # a client's message is so much older than we know, at most: it waited on its way here
 LINGER_S = 60.0  # a destination with no endpoint left is known for so long: its next one may be on the way
 BUSY_MS = 500  # told to a client where the house or the journal is full
-ENDED_SHARE = 0.25  # of the room for live messages: identities remembered past their end take no more
+ENDED_SHARE = 0.5  # of the room for live messages: identities remembered past their end take no more
 RETRY_S = 0.25  # between two tries to write what a full disk did not take
 
 
@@ -62,8 +62,10 @@
         notify: Callable[[int, bytes, str, float], None],
         connections: int = 256,
         codecs: Mapping[int, Codec] | None = None,
+        keep_s: float = KEEP_S,
     ) -> None:
         self.settings, self.dispatcher, self.journal, self.notify = settings, dispatcher, journal, notify
+        self.keep_s = keep_s
         self.codecs = codecs or {}  # by destination; the others speak the platform's protocol
         self.loop = asyncio.get_running_loop()
         self.endpoints = Endpoints(settings, self.attempt_ended, self.dropped, connections)
@@ -166,7 +168,10 @@
             return 0
         size = len(offer.body) + len(offer.attributes)
         room = self.fresh_bytes + size
-        if len(self.by_id) >= self.settings.max_held or not self.journal.has_room(room):
+        for gone in self.ended.forget(time.time()):
+            self.journal.end(gone)
+        full = offer.remember and self.ended.full(len(self.by_id))
+        if full or len(self.by_id) >= self.settings.max_held or not self.journal.has_room(room):
             answer(Reply("refused", BUSY_MS))
             return 0
         self.numbers += 1
@@ -478,9 +483,8 @@
 
     def remember(self, kept: Kept, end: Reply) -> None:
         """The journal keeps the message, without its body, until its identity may be forgotten."""
-        now = time.time()
-        self.ended.add(kept.id, End(kept.number, end, max(now, kept.deadline) + KEEP_S))
-        for number in self.ended.forget(now):
+        self.ended.add(kept.id, End(kept.number, end, kept.deadline + self.keep_s))
+        for number in self.ended.forget(time.time()):
             self.journal.end(number)
 
     def forget(self, message: Message) -> None:
--- a/tests/test_journal_crash.py
+++ b/tests/test_journal_crash.py
@@ -13,6 +13,8 @@
 from rushhitch.journal.files import on_disk
 
 MESSAGES = 60
+ROOM = 60_000.0  # bytes of disk: for their identities too
+EVENTS = 14  # messages with an identity that outlasts their end
 RESUMED = 40  # messages of the first life of two that die
 
 
@@ -65,6 +67,40 @@
     assert at > MESSAGES, "the run has too few operations to prove anything"
 
 
+@pytest.mark.parametrize("how", HOWS)
+def test_an_event_posted_again_after_a_crash_at_any_operation_does_not_run_anew(tmp_path_factory, how):
+    # Each is posted again in the second life: some have ended by then, some are out, some were never taken.
+    def crashed(folder, at):
+        reached = []
+
+        def work(outside):
+            files = CrashingFiles(folder, at, how, ROOM)
+            try:
+                life = Life(outside, files, 1, ROOM)
+                load(life, 0, EVENTS, remember=True)
+                outside.time.run(1.0)
+            except Crash:
+                pass
+            outside.killed()
+            files.die()
+            reached.append(files.reached)
+            known = len(outside.delivered)
+            life = Life(outside, CountingFiles(folder, ROOM), 2, ROOM)
+            load(life, 0, EVENTS, remember=True)
+            settle(outside)
+            assert not outside.broken, outside.broken
+            assert not life.node.by_id and len(outside.delivered) >= known
+            life.files.die()
+
+        virtual(work)
+        return reached[0]
+
+    at = 1
+    while crashed(fresh(tmp_path_factory), at):
+        at += 1
+    assert at > EVENTS, "the run has too few operations to prove anything"
+
+
 class DyingFiles(CrashingFiles):
     """Dies at its operation in any case: after it where it is no write and a part of one was asked for."""
 
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -122,6 +122,7 @@
         ),
         (EVENTS + 'partners = { 3 = "xml" }\n', "x:4: partners: 3 = 'xml' must be a number = one of binary"),
         (EVENTS + 'partners = { a = "batch" }\n', "x:4: partners: a = 'batch' must be a number"),
+        (EVENTS + "remember_s = -1\n", "x:4: remember_s must be seconds from 0 to 1e6, not -1"),
         (EVENTS + 'source = "a b"\n', "x:4: source must be a URI reference, not 'a b'"),
         (EVENTS + 'path = "in"\n', "x:4: path must begin with / and hold no space, not 'in'"),
         (EVENTS.replace('listen = "127.0.0.1:8080"', "").lstrip(), "x:1: listen must be of the form"),
