--- a/benchmarks/protocols.py
+++ b/benchmarks/protocols.py
@@ -22,7 +22,7 @@
     "binary": ("binary", "binary"),
     "structured": ("structured", "structured"),
 }
-PER_S = 450.0  # offered: near what all take; far below it caches go cold, and each message costs more
+PER_S = 450.0  # offered: near what all of them take on a core, so that the figure needs little reckoning
 LEAST = 0.7  # of RESP2's messages a second, for binary mode
 ROUNDS = 3  # each pair is played so often, in turn, and its median counts
 
