--- a/rushhitch/fronts/cloudevents.py
+++ b/rushhitch/fronts/cloudevents.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 import h11
@@ -20,9 +21,10 @@
 from rushhitch.cloudevents.events import BadEvent, Event
 from rushhitch.cloudevents.http import MOST_BATCH, decode
 from rushhitch.cloudevents.mapping import Rules, placed
-from rushhitch.fronts.listener import ClientConnection, Clients, Slot
+from rushhitch.fronts.listener import ClientConnection, Clients, Fault, Slot
 from rushhitch.fronts.taker import BadRequest, Offer, Pending, Reply, Taker
 
+MOST_AHEAD = 65_536  # bytes of further requests that are read while one is under way
 MOST_HEAD = 32_768  # bytes: 64 attributes as headers, most of them short
 PENDING_MS = 1_000.0  # told where the same event is being taken on: by then it is
 REFUSED_MS = 1_000.0  # told with a refusal for which the core names no time
@@ -32,6 +34,7 @@
 _json = msgspec.json.Encoder().encode
 
 STATUS = {"taken": 202, "delivered": 200, "failed": 502, "refused": 503}
+FAULTS = {Fault.BAD: 400, Fault.LATE: 408, Fault.CROWD: 503}
 DETAIL = {
     "failed": "the event was not delivered, or may have been: to send it again as a new event may repeat it",
     "refused": "the event was not taken on, or never left: to send it again does no harm",
@@ -50,28 +53,10 @@
     @classmethod
     def problem(cls, status: int, detail: str, wait_ms: float = 0.0, **more: str) -> Outcome:
         """A problem document (RFC 9457); the status tells its type."""
-        shown = {"title": reason(status), "status": status, "detail": detail}
+        shown = {"title": HTTPStatus(status).phrase, "status": status, "detail": detail}
         return cls(status, shown | {name: value for name, value in more.items() if value}, wait_ms, True)
 
 
-def reason(status: int) -> str:
-    return {
-        200: "OK",
-        202: "Accepted",
-        207: "Multi-Status",
-        400: "Bad Request",
-        404: "Not Found",
-        405: "Method Not Allowed",
-        408: "Request Timeout",
-        413: "Content Too Large",
-        415: "Unsupported Media Type",
-        501: "Not Implemented",
-        431: "Request Header Fields Too Large",
-        502: "Bad Gateway",
-        503: "Service Unavailable",
-    }.get(status, "Error")
-
-
 def outcome_of(reply: Reply, event: Event) -> Outcome:
     """What a client hears of an event's state."""
     source, name = event.identity
@@ -204,10 +189,8 @@
         self.intake: Intake | None = None
         self.ended = False  # the client has ended its sending
 
-    def error(self, text: str) -> bytes:
-        """For what cannot be read: the connection is closed after it."""
-        status = 408 if "did not come" in text or "no request came" in text else 400
-        return self.response(Outcome.problem(503 if "too many" in text else status, text), close=True)
+    def error(self, text: str, fault: Fault) -> bytes:
+        return self.response(Outcome.problem(FAULTS[fault], text), close=True)
 
     def connection_lost(self, error: Exception | None) -> None:
         if self.intake is not None and not self.intake.over:
@@ -262,9 +245,16 @@
         if self.ended and not self.slots:  # nothing further can come
             self.finish_up()
             return
-        held = len(self.body) + len(self.http.trailing_data[0])
-        if not self.half_sent(held if not self.slots else 0):
+        fits = self.half_sent(len(self.body) + len(self.http.trailing_data[0]))
+        if not fits and not self.slots:
             self.turn_away(Outcome.problem(503, "too many requests are half sent", REFUSED_MS))
+        self.read_on()
+
+    def read_on(self) -> None:
+        """Guards against a client that sends on and on while it waits for an answer."""
+        super().read_on()
+        if self.slots and self.size > MOST_AHEAD and self.transport is not None:
+            self.transport.pause_reading()
 
     def unwanted(self, request: h11.Request) -> Outcome | None:
         """What speaks against a request before its body has come."""
@@ -360,7 +350,7 @@
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return b""
         parts = (
-            self.http.send(h11.Response(status_code=status, headers=told, reason=reason(status))),
+            self.http.send(h11.Response(status_code=status, headers=told, reason=HTTPStatus(status).phrase)),
             self.http.send(h11.Data(data=body)),
             self.http.send(h11.EndOfMessage()),
         )
--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -8,6 +8,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 
 from rushhitch.fronts.taker import Taker
 
@@ -28,6 +29,14 @@
         self.handles: list[int] = []  # of offers that have no answer yet
 
 
+class Fault(Enum):
+    """Why a connection is ended with an error."""
+
+    BAD = "it sent what cannot be read"
+    LATE = "what was due of it did not come"
+    CROWD = "there are too many of them"
+
+
 class ClientConnection(asyncio.Protocol):
     """One client connection; answers go out in the order of the requests. A front says how requests are read
     (`data_received`, which tells `half_sent` what it holds) and how an error looks (`error`)."""
@@ -45,7 +54,7 @@
         self.deaf = False  # it sent what can't be read: nothing more is
         self.finishing = False  # it is closed as soon as no request is under way
 
-    def error(self, text: str) -> bytes:
+    def error(self, text: str, fault: Fault) -> bytes:
         """An error as the front's protocol has it, for what cannot be read."""
         raise NotImplementedError
 
@@ -58,7 +67,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         if not self.server.make_room():
-            self.refuse("too many clients are connected")
+            self.refuse("too many clients are connected", Fault.CROWD)
         self.server.clients[self] = None
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -90,13 +99,13 @@
         if self.finishing:
             self.close_between()
 
-    def refuse(self, text: str) -> None:
+    def refuse(self, text: str, fault: Fault) -> None:
         """Say what is wrong, after the answers that are due, and close."""
         slot = Slot()
         self.slots.append(slot)
         self.deaf = self.finishing = True
         self.read_on()
-        self.reply(slot, self.error(text))
+        self.reply(slot, self.error(text, fault))
 
     def unread(self) -> bool:
         """Whether something waits to be read."""
@@ -130,9 +139,9 @@
         elif self.slots or self.resting or self.unread():
             return
         elif self.size:
-            self.refuse("the rest of the request did not come")
+            self.refuse("the rest of the request did not come", Fault.LATE)
         elif not self.asked:
-            self.refuse("no request came that makes sense")
+            self.refuse("no request came that makes sense", Fault.LATE)
         elif waited >= IDLE_S:
             self.finish()
 
--- a/rushhitch/fronts/resp2.py
+++ b/rushhitch/fronts/resp2.py
@@ -6,7 +6,7 @@
 
 import hiredis
 
-from rushhitch.fronts.listener import MOST_REQUEST, ClientConnection, Clients, Slot
+from rushhitch.fronts.listener import MOST_REQUEST, ClientConnection, Clients, Fault, Slot
 from rushhitch.fronts.taker import MOST_BODY, MOST_ID, BadRequest, Offer, Reply
 
 NOTHING = object()  # what the reader gives while no request is complete
@@ -115,7 +115,7 @@
         super().__init__(server)
         self.framing, self.reader = Framing(), hiredis.Reader(notEnoughData=NOTHING)
 
-    def error(self, text: str) -> bytes:
+    def error(self, text: str, fault: Fault) -> bytes:
         return error_line(text)
 
     def data_received(self, data: bytes) -> None:
@@ -142,7 +142,7 @@
                 self.framing.wrong, words = f"Protocol error: {error}", NOTHING
             if words is NOTHING:
                 if self.framing.wrong:
-                    self.refuse(self.framing.wrong)
+                    self.refuse(self.framing.wrong, Fault.BAD)
                 self.read_on()
                 return
             if not self.request(words):
--- a/tests/test_fronts_cloudevents.py
+++ b/tests/test_fronts_cloudevents.py
@@ -367,6 +367,24 @@
         assert status == 503 and headers["retry-after"] == "1"
 
 
+def test_what_a_waiting_client_sends_ahead_is_bounded(tmp_path):
+    # It would be read into memory for as long as the client waits.
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(more={"Prefer": "wait=30"})
+        request = await front.partner.next()
+        client.writer.write(bytes(8_000_000))
+        (served,) = front.clients.clients
+        while served.size <= cloudevents.MOST_AHEAD:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)
+        assert len(served.http.trailing_data[0]) < 1_000_000
+        request.answer(200)
+        assert (await client.answer())[2]["state"] == "delivered"
+        assert (await client.answer())[0] == 400
+
+
 def test_connections_are_bounded_over_both_fronts(tmp_path):
     @with_front(tmp_path, most=2)
     async def _(front):
