--- a/benchmarks/protocols.py
+++ b/benchmarks/protocols.py
@@ -43,12 +43,7 @@
         return await bench.offer(PER_S, seconds)
     finally:
         os.sched_setaffinity(0, mine)
-        for dispatcher in bench.dispatchers.values():
-            await dispatcher.kill()
-            dispatcher.log.close()
-        bench.clients.stop()
-        bench.partners.stop()
-        bench.directory.stop()
+        await bench.stop()
 
 
 def run(quick: bool) -> int:
--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -94,6 +94,14 @@
 
     numbers = itertools.count(1)
 
+    async def stop(self) -> None:
+        for dispatcher in self.dispatchers.values():
+            await dispatcher.kill()
+            dispatcher.log.close()
+        self.clients.stop()
+        self.partners.stop()
+        self.directory.stop()
+
 
 async def steps(seconds: float, folder: Path) -> tuple[list[dict[str, float]], dict[str, float]]:
     """Load goes up until the core is full or the dispatcher falls behind; then a profile at two thirds."""
@@ -120,12 +128,7 @@
         await dispatcher.restart()  # at its end it writes its profile
         profile = json.loads((folder / "profile").read_text())
     finally:
-        for dispatcher in bench.dispatchers.values():
-            await dispatcher.kill()
-            dispatcher.log.close()
-        bench.clients.stop()
-        bench.partners.stop()
-        bench.directory.stop()
+        await bench.stop()
     return found, profile
 
 
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -13,8 +13,8 @@
 from crowpier import interface as api
 from crowpier.interface import Outcome, Settings, State
 from rushhitch.connection import parse_address
+from rushhitch.ended import KEEP_S, MOST, End, Ended
 from rushhitch.endpoints import PLATFORM, Endpoints, Place, Result
-from rushhitch.fronts.ended import KEEP_S, MOST, End, Ended
 from rushhitch.fronts.taker import DELIVERED, FAILED, TAKEN, Answer, BadRequest, Offer, Pending, Reply
 from rushhitch.journal import Journal, Kept
 from rushhitch.journal.commit import Committer
--- a/tests/test_fronts_cloudevents.py
+++ b/tests/test_fronts_cloudevents.py
@@ -10,9 +10,9 @@
 
 from rushhitch.cloudevents.http import BATCH, MOST_BATCH, STRUCTURED
 from rushhitch.cloudevents.mapping import Rules
+from rushhitch.ended import End, Ended
 from rushhitch.fronts import cloudevents, listener
 from rushhitch.fronts.cloudevents import front, wait_of
-from rushhitch.fronts.ended import End, Ended
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
 from rushhitch.fronts.taker import DELIVERED, FAILED
