Partners are asked by OPTIONS whether they want events, and their stated rate is kept

Endpoints of destinations in [cloudevents] handshake get nothing until they name our origin; a stated rate goes to the decision module as a bound, the lower of it and a planner's grant; 410 or a later no is obeyed, a time-out or 5xx changes nothing. Agreements are I/O-free; what is shut stands in the module's list as draining.

A destination whose protocol takes no batches is given a kind without them: the decisions took ten calls for one slot.

--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from crowpier import Dispatcher
 from crowpier.benchlink import settings_of
@@ -23,10 +23,13 @@
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
 from rushhitch.journal import Journal, JournalError, Sync
-from rushhitch.node import Node
+from rushhitch.node import Node, with_singles
 from rushhitch.partners.codec import Codec
 from rushhitch.planning.counts import LaneCounts
 
+if TYPE_CHECKING:
+    from rushhitch.partners.handshake import Handshake
+
 log = logging.getLogger("rushhitch")
 
 ACCEPT_S = 0.6  # after SIGTERM: connections go on coming for a while
@@ -135,15 +138,18 @@
         raise BadConfiguration(f"ROUTER_STATE: {error}") from None
     most_clients = int(CLIENT_SHARE * configuration.sockets) + SPARE_CLIENTS
     notices = Notices(configuration.discovery, lambda number: node.notice_heard(number))
+    spoken = codecs(configuration.own)
+    settings = with_singles(configuration.settings) if spoken else configuration.settings
     node = Node(
-        configuration.settings,
-        Dispatcher(configuration.settings, configuration.seed),
+        settings,
+        Dispatcher(settings, configuration.seed),
         journal,
         notices.add,
         configuration.sockets - most_clients - OWN_FILES,
-        codecs(configuration.own),
+        spoken,
         configuration.own.events.remember_s if configuration.own.events is not None else 0.0,
     )
+    handshake = make_handshake(node, configuration.own)
     planners = None
     if forward:
         from rushhitch.planning.client import PlannerClient  # with its libraries: only where it is on
@@ -163,6 +169,8 @@
     platform.start()
     if planners is not None:
         planners.start()
+    if handshake is not None:
+        handshake.start()
     reloading = loop.create_task(reload(changed, platform))
     clients = Clients(node, most_clients, int(BEGUN_SHARE * configuration.memory_bytes))
     try:
@@ -193,6 +201,8 @@
     platform.stop()
     if planners is not None:
         planners.stop()
+    if handshake is not None:
+        handshake.stop()
     node.committer.close()
     journal.close()
 
@@ -208,6 +218,19 @@
     return {number: made[mode] for number, mode in own.events.partners.items()}
 
 
+def make_handshake(node: Node, own: Own) -> Handshake | None:
+    """What asks partners whether they want events, as the gate of the node."""
+    if own.events is None or own.events.handshake is None:
+        return None
+    from rushhitch.partners.agreements import Agreements  # only where it is on
+    from rushhitch.partners.handshake import Handshake
+
+    asking = own.events.handshake
+    agreements = Agreements(asking.origin, asking.rate, asking.renew_s * 1000.0)
+    node.gate = handshake = Handshake(node, agreements, asking.destinations, own.events.path)
+    return handshake
+
+
 async def listen_for_events(clients: Clients, configuration: Configuration) -> None:
     """The CloudEvents front, beside RESP2 and within the same bounds."""
     from rushhitch.cloudevents.mapping import Rules  # with its library: only where it is on
--- a/rushhitch/config/own.py
+++ b/rushhitch/config/own.py
@@ -4,7 +4,7 @@
 
 import re
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -21,6 +21,17 @@
     """The file makes no sense; the text names the file, the line, the fault and the remedy."""
 
 
+@dataclass(frozen=True, slots=True)
+class Asking:
+    """`handshake` of `[cloudevents]`: which of the partners are asked whether they want events
+    (`partners.agreements.Agreements`)."""
+
+    origin: str  # a DNS name for all dispatchers of this installation
+    destinations: frozenset[int]  # all that are sent events, unless some are named
+    rate: int = 0  # requests a minute that are asked for; 0: none are
+    renew_s: float = 600.0
+
+
 @dataclass(frozen=True, slots=True)
 class Events:
     """`[cloudevents]`: where the front listens, if it does, and what attributes mean
@@ -39,6 +50,7 @@
     remember_s: float = 600.0  # past its time an event is known for so long
     source: str = "/rushhitch"  # of messages that did not come in as events
     path: str = "/"  # of the requests to partners
+    handshake: Asking | None = None  # where partners must agree to be sent events
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +102,7 @@
             "source",
             "path",
             "remember_s",
+            "handshake",
         },
         "planning": {"planners", "secret_file", "cold_from", "warm_ms", "fall_multiple"},
     }
@@ -219,9 +232,37 @@
         float(remember),
         source,
         path,
+        asking_of(told["handshake"], frozenset(map(int, partners)), fault) if "handshake" in told else None,
     )
 
 
+def asking_of(told: Any, partners: frozenset[int], fault: Callable[[str, str], BadOwn]) -> Asking:
+    """`handshake` of `[cloudevents]`, a table."""
+    keys = {"origin", "destinations", "rate", "renew_s"}
+    if not isinstance(told, dict) or not keys >= told.keys():
+        raise fault("handshake", f"handshake must be a table with {', '.join(sorted(keys))}")
+    origin = told.get("origin")
+    if not isinstance(origin, str) or not re.fullmatch(
+        r"[A-Za-z0-9]([A-Za-z0-9.-]{0,251}[A-Za-z0-9])?", origin
+    ):
+        raise fault(
+            "handshake",
+            f'handshake: origin must be a DNS name: origin = "sender.example.com", not {origin!r}',
+        )
+    destinations = told.get("destinations", sorted(partners))
+    good = isinstance(destinations, list) and all(type(number) is int for number in destinations)
+    if not good or not partners >= set(destinations):
+        raise fault(
+            "handshake", "handshake: destinations must be a list of numbers that partners has as well"
+        )
+    rate, renew = told.get("rate", 0), told.get("renew_s", 600.0)
+    if type(rate) is not int or not 0 <= rate <= 10**8:
+        raise fault("handshake", f"handshake: rate must be requests a minute, a whole number, not {rate!r}")
+    if isinstance(renew, bool) or not isinstance(renew, (int, float)) or not 1 <= renew <= 1e6:
+        raise fault("handshake", f"handshake: renew_s must be seconds from 1 to 1e6, not {renew!r}")
+    return Asking(origin, frozenset(destinations), rate, float(renew))
+
+
 def line_of(text: str, section: str, key: str = "") -> int:
     """The line, counted from 1, of a section's head or of a key in it; 1 where it is written otherwise."""
     inside = not key
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -13,13 +13,14 @@
 import h11
 
 from crowpier.interface import Outcome, Settings, State
-from rushhitch.connection import Connection
+from rushhitch.connection import Connection, Headers
 from rushhitch.partners.codec import Attempt, Codec, Ends
 from rushhitch.partners.platform import Platform, head_outcome
 
 log = logging.getLogger(__name__)
 
 MOST_ANSWER = 65_536
+ASK_S = 5.0  # a request without a message has its answer by then, or none
 REST_S = 0.5  # an answer that has begun comes to its end in that time, or it is spoilt
 IDLE_MARGIN = 0.1  # of the idle time of connections: so long before its end one is not used any more
 PLATFORM = Platform()
@@ -82,8 +83,10 @@
         report: Callable[[Result], None],
         dropped: Callable[[str], None] = lambda endpoint: None,
         most: int = 256,
+        withdrawn: Callable[[str], None] = lambda endpoint: None,
     ) -> None:
         self.settings, self.report, self.dropped = settings, report, dropped
+        self.withdrawn = withdrawn  # an endpoint said that it wants nothing any more
         self.most = most  # connections, with a call or idle
         self.loop = asyncio.get_running_loop()
         self.places: dict[str, Place] = {}
@@ -339,6 +342,8 @@
             lane = self.places[call.endpoint].lane
             self.waits[lane] = max(self.waits.get(lane, 0.0), self.loop.time() + call.wait / 1000.0)
         body = await connection.body(MOST_ANSWER)
+        if call.codec.withdrawn(response):
+            self.withdrawn(call.endpoint)
         if len(call.open) < len(call.ids):
             # Guards against messages that are lost: to the other side, a call of which one message was given
             # up may be given up as a whole, and then its answer counts for none. It proves neither that the
@@ -346,7 +351,25 @@
             return dict.fromkeys(call.ids, (Outcome.ERROR, False))
         return call.codec.ends(response, body, call.ids)
 
-    # Probes
+    # Requests without a message
+
+    async def talk(self, connection: Connection, method: str, target: str, headers: Headers) -> h11.Response:
+        await connection.send(method, target, headers)
+        response = await connection.response()
+        await connection.body(MOST_ANSWER)
+        return response
+
+    async def ask(self, endpoint: str, method: str, target: str, headers: Headers) -> h11.Response:
+        """The head of the answer to a request. Raises an `OSError`, a `TimeoutError`, an `h11.ProtocolError`,
+        or a `KeyError` where the endpoint is not listed."""
+        call, connection = Call(endpoint, self.loop.time(), {}, []), None
+        try:
+            async with asyncio.timeout(ASK_S):
+                connection = await self.connected(call)
+                return await self.talk(connection, method, target, headers)
+        finally:
+            if connection is not None:
+                self.leave(connection, call, Outcome.ERROR)
 
     def probe(self, endpoint: str, report: Callable[[str, Outcome, float], None]) -> None:
         if endpoint in self.places:
@@ -359,10 +382,8 @@
         try:
             async with asyncio.timeout(self.settings.connect_timeout_ms / 1000.0):
                 connection = await self.connected(call)
-                await connection.send("GET", "/alive", [])
                 outcome = Outcome.RESET
-                response = await connection.response()
-                await connection.body(MOST_ANSWER)
+                response = await self.talk(connection, "GET", "/alive", [])
             outcome, _ = head_outcome(response)
         except TimeoutError:
             outcome = Outcome.TIMEOUT if connection is not None else outcome
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
@@ -20,6 +21,7 @@
 from rushhitch.journal.commit import Committer
 from rushhitch.journal.space import RECORD_ROOM
 from rushhitch.partners.codec import Attempt, Codec
+from rushhitch.partners.gate import Gate
 from rushhitch.planning.counts import LaneCounts
 from rushhitch.planning.guidance import Allowance
 from rushhitch.planning.messages import LaneReport
@@ -33,6 +35,8 @@
 LINGER_S = 60.0  # a destination with no endpoint left is known for so long: its next one may be on the way
 BUSY_MS = 500  # told to a client where the house or the journal is full
 ENDED_SHARE = 0.5  # of the room for live messages: identities remembered past their end take no more
+STATED_MS = 1_000.0  # a partner's stated limit holds so long in the decision module, unless told again
+SINGLY = ", one message a call"  # after a kind's name
 RETRY_S = 0.25  # between two tries to write what a full disk did not take
 
 
@@ -51,6 +55,15 @@
     watchdog: asyncio.TimerHandle | None = None
 
 
+def with_singles(settings: Settings) -> Settings:
+    """The settings, and a kind beside each that takes batches, for endpoints of it whose protocol has none.
+    Guards against the decisions taking several calls for one."""
+    singles = tuple(
+        replace(kind, name=kind.name + SINGLY, batch=1) for kind in settings.kinds if kind.batch > 1
+    )
+    return replace(settings, kinds=settings.kinds + singles)
+
+
 class Node:
     """One dispatcher: everything that happens passes through `turn`."""
 
@@ -68,7 +81,7 @@
         self.keep_s = keep_s
         self.codecs = codecs or {}  # by destination; the others speak the platform's protocol
         self.loop = asyncio.get_running_loop()
-        self.endpoints = Endpoints(settings, self.attempt_ended, self.dropped, connections)
+        self.endpoints = Endpoints(settings, self.attempt_ended, self.dropped, connections, self.withdrawn)
         self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
         self.kinds = {kind.name: position for position, kind in enumerate(settings.kinds)}
         self.zones = {zone: position for position, zone in enumerate(settings.zones)}
@@ -84,6 +97,10 @@
         self.retrying: asyncio.TimerHandle | None = None
         self.fresh_bytes = 0
         self.counts: LaneCounts | None = None  # for reports, where there are planners
+        self.gate: Gate | None = None  # where partners must agree to be sent anything
+        self.rows: dict[str, dict[str, Any]] = {}  # of endpoints that it covers, as they are listed
+        self.stated: dict[int | str, float] = {}  # calls a second that partners state, by lane
+        self.granted: dict[int | str, tuple[float, Allowance]] = {}  # by lane: until when it holds
         self.reminder: asyncio.TimerHandle | None = None
         self.events: list[api.Event] = []
         self.fresh: list[Message] = []
@@ -115,6 +132,8 @@
         for name in gone:
             self.entries.pop(name, None)
             self.endpoints.bar(name)
+            if self.rows.pop(name, None) is not None and self.gate is not None:
+                self.gate.remove(name)
             if self.counts is not None:
                 self.counts.remove(name)
         if kind is not api.ListKind.CACHED:  # what was known at the start may be old
@@ -130,17 +149,26 @@
         state, known = STATES[row["state"]], self.entries.get(row["id"])
         if state is State.GONE:  # nothing else of it need be told
             return replace(known, state=state) if known else api.Entry(str(row["id"]), 0, state=state)
+        destination = int(row["cell"])
+        codec = self.codecs.get(destination, PLATFORM)
+        kind_of = self.kinds[row["kind"]]
+        if codec.batch(int(self.settings.kinds[kind_of].batch)) == 1:
+            kind_of = self.kinds.get(row["kind"] + SINGLY, kind_of)
         entry = api.Entry(
             str(row["id"]),
-            int(row["cell"]),
-            self.kinds[row["kind"]],
+            destination,
+            kind_of,
             self.zones[row["zone"]],
             state,
             float(row.get("weight", 0.0)),
         )
+        if self.gate is not None and self.gate.covers(entry.destination):
+            self.rows[entry.endpoint] = row
+            self.gate.place(entry.endpoint)
+            if entry.state is State.READY and not self.gate.open(entry.endpoint):
+                entry = replace(entry, state=State.DRAINING)
         kind = self.settings.kinds[entry.kind]
-        lane = entry.endpoint if kind.apart else entry.destination
-        codec = self.codecs.get(entry.destination, PLATFORM)
+        lane = self.lane_of(entry)
         place = Place(parse_address(row["addr"]), lane, int(kind.batch), entry.state, codec)
         self.endpoints.place(entry.endpoint, place)
         self.entries[entry.endpoint] = entry
@@ -148,6 +176,19 @@
             self.counts.place(entry.endpoint, entry.destination, kind.apart)
         return entry
 
+    def lane_of(self, entry: api.Entry) -> int | str:
+        """What the decision module calls the endpoint's lane."""
+        return entry.endpoint if self.settings.kinds[entry.kind].apart else entry.destination
+
+    def regate(self, endpoint: str) -> None:
+        """The gate has changed its mind on the endpoint."""
+        if (row := self.rows.get(endpoint)) is not None:
+            self.listed({"full": False, "servers": [row]})
+
+    def gated_lanes(self) -> dict[str, int | str]:
+        """The lanes of the endpoints that the gate covers."""
+        return {name: self.lane_of(self.entries[name]) for name in self.rows if name in self.entries}
+
     def offer(self, offer: Offer, answer: Answer, ended: Answer | None = None) -> int:
         """A client hands a message in; it is answered at the end of the turn. `Taker` tells the rest."""
         if offer.cls not in self.classes:
@@ -311,7 +352,11 @@
     def dropped(self, endpoint: str) -> None:
         self.note(api.Dropped(endpoint))
 
-    # Planners
+    def withdrawn(self, endpoint: str) -> None:
+        if self.gate is not None and endpoint in self.rows:
+            self.gate.withdrawn(endpoint)
+
+    # Limits from outside
 
     def collect(self, elapsed_ms: float) -> list[LaneReport]:
         """What was seen since it was asked last, for a report."""
@@ -322,20 +367,33 @@
         """A planner's word goes to the decisions as one event; they keep to the lower of it and their own."""
         assert self.counts is not None, "nothing is counted without planners"
         lane = self.counts.lane_of(allowance.lane)
-        if lane is not None:
-            self.note(
-                api.Allowed(
-                    lane,
-                    allowance.per_s,
-                    max(allowance.burst, 1.0),
-                    allowance.for_ms,
-                    allowance.wait_ms,
-                    allowance.handicap,
-                    allowance.slots_ms,
-                    allowance.slot,
-                    allowance.slots,
-                )
-            )
+        if lane is None:
+            return
+        if lane in self.stated:
+            self.granted[lane] = (self.loop.time() + allowance.for_ms / 1000.0, allowance)
+        self.allow(lane, allowance)
+
+    def allow(self, lane: int | str, allowance: Allowance) -> None:
+        """Pass an allowance on, or the limit that the partner states where that is lower: then moments that
+        were dealt for the higher one do not count."""
+        stated = self.stated.get(lane, math.inf)
+        slots = (allowance.slots_ms, allowance.slot, allowance.slots)
+        per_s, burst = allowance.per_s, max(allowance.burst, 1.0)
+        if stated < per_s:
+            per_s, burst, slots = stated, 1.0, (0.0, 0, ())
+        told = (allowance.for_ms, allowance.wait_ms, allowance.handicap)
+        self.note(api.Allowed(lane, per_s, burst, *told, *slots))
+
+    def state_limits(self, rates: Mapping[int | str, float]) -> None:
+        """Limits in calls a second that partners state, by lane: to all dispatchers together, so each keeps
+        to its part. The decision module hears of them as of planners' grants, which run out after a second:
+        call it more often."""
+        self.stated = {lane: per_s / self.settings.dispatchers for lane, per_s in rates.items()}
+        now = self.loop.time()
+        self.granted = {lane: held for lane, held in self.granted.items() if held[0] > now}
+        for lane, per_s in self.stated.items():
+            if lane not in self.granted:  # a planner's word is lowered to it as it comes
+                self.allow(lane, Allowance(str(lane), per_s, 1.0, STATED_MS))
 
     # Actions
 
--- a/rushhitch/partners/cloudevents.py
+++ b/rushhitch/partners/cloudevents.py
@@ -24,6 +24,7 @@
 DELIVERED = re.compile(rb"HTTP/1\.[01] 2\d\d( [^\n]*)?\r?\n")
 PLAIN = "application/octet-stream"  # nothing is known of a body that came in without its type
 REFUSED = (429, 503)  # it takes no more for now: never ran
+GONE = 410  # the address is retired: nothing further is to be sent there (web hooks page, section 2.2)
 MAY_HAVE_RUN = (409, 423, 424)  # a conflict may be with this very event
 _read = msgspec.json.Decoder().decode
 
@@ -76,6 +77,9 @@
                 return retry_after_ms(value.decode("latin-1").strip(), now)
         return 0.0
 
+    def withdrawn(self, response: h11.Response) -> bool:
+        return response.status_code == GONE
+
     def ends(self, response: h11.Response, body: bytes, ids: list[bytes]) -> Ends:
         return dict.fromkeys(ids, outcome(response.status_code))
 
--- a/rushhitch/partners/codec.py
+++ b/rushhitch/partners/codec.py
@@ -49,6 +49,9 @@
     def wait_ms(self, response: h11.Response, now: float) -> float:
         """The wait in milliseconds that an answer tells, 0 without one; `now` is Unix time in seconds."""
 
+    def withdrawn(self, response: h11.Response) -> bool:
+        """Whether an answer says that nothing is wanted at this address any more."""
+
     def ends(self, response: h11.Response, body: bytes, ids: list[bytes]) -> Ends:
         """What a whole answer says of each message. An `h11.RemoteProtocolError` where it is spoilt."""
 
--- a/rushhitch/partners/platform.py
+++ b/rushhitch/partners/platform.py
@@ -45,6 +45,9 @@
                 return wait if 0 < wait < math.inf else 0.0
         return 0.0
 
+    def withdrawn(self, response: h11.Response) -> bool:
+        return False
+
     def ends(self, response: h11.Response, body: bytes, ids: list[bytes]) -> Ends:
         if len(ids) > 1 and response.status_code == 200:
             return batch_ends(body, ids)
--- a/rushhitch/planning/planner.py
+++ b/rushhitch/planning/planner.py
@@ -70,8 +70,8 @@
         return taken, refused
 
     def dealt_at(self) -> float:
-        """When the last grant that was dealt to it was asked for, by the clock of this planner; a little later
-        than it was, by the way of the report."""
+        """When the last grant that was dealt to it was asked for, by the clock of this planner; a little
+        later than it was, by the way of the report."""
         return self.heard_at - self.report.asked_ms if self.report.granted else -math.inf
 
     def promised(self, now: float) -> float:
@@ -307,8 +307,8 @@
     def confirmed(self, now: float, lane: Lane, share: Share) -> float:
         """What a forwarder goes on with while this planner learns: what it holds or, where that has lapsed to
         its safe rate, the whole of its grant again. Those that were asked for at about the same time were all
-        in their lease at one moment, so the former planner let them add up to the limit at most; of one that is
-        older than the others it may have dealt out again what lapsed."""
+        in their lease at one moment, so the former planner let them add up to the limit at most; of one that
+        is older than the others it may have dealt out again what lapsed."""
         report = share.report
         if report.granted <= report.holding or now - lane.owned_since < HEAR_MS:
             return report.holding
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rushhitch.__main__ import loop_factory
-from rushhitch.config.own import LOOPS, SYNCS, BadOwn, Events, Own, parse_own, read_own
+from rushhitch.config.own import LOOPS, SYNCS, Asking, BadOwn, Events, Own, parse_own, read_own
 from rushhitch.journal import Sync
 
 
@@ -109,6 +109,15 @@
     assert told == Events(partners={3: "batch"}, source="/a", path="/in")
 
 
+def test_partners_may_have_to_agree_all_that_get_events_or_some():
+    text = '[cloudevents]\npartners = { 3 = "batch", 4 = "binary" }\n'
+    assert parse_own(text, "x").events.handshake is None
+    told = parse_own(text + 'handshake = { origin = "a.example" }\n', "x").events.handshake
+    assert told == Asking("a.example", frozenset({3, 4}), 0, 600.0)
+    text += 'handshake = { origin = "a.example", destinations = [4], rate = 60, renew_s = 5 }\n'
+    assert parse_own(text, "x").events.handshake == Asking("a.example", frozenset({4}), 60, 5.0)
+
+
 @pytest.mark.parametrize(
     ("text", "error"),
     [
@@ -126,6 +135,22 @@
         (EVENTS + 'source = "a b"\n', "x:4: source must be a URI reference, not 'a b'"),
         (EVENTS + 'path = "in"\n', "x:4: path must begin with / and hold no space, not 'in'"),
         (EVENTS.replace('listen = "127.0.0.1:8080"', "").lstrip(), "x:1: listen must be of the form"),
+        (
+            EVENTS + "handshake = 3\n",
+            "x:4: handshake must be a table with destinations, origin, rate, renew_s",
+        ),
+        (EVENTS + "handshake = { rate = 3 }\n", "x:4: handshake: origin must be a DNS name"),
+        (EVENTS + 'handshake = { origin = "a b" }\n', "x:4: handshake: origin must be a DNS name"),
+        (EVENTS + 'handshake = { origin = "a", hz = 1 }\n', "x:4: handshake must be a table with"),
+        (
+            EVENTS + 'handshake = { origin = "a", destinations = [3] }\n',
+            "x:4: handshake: destinations must be",
+        ),
+        (
+            EVENTS + 'handshake = { origin = "a", rate = 0.5 }\n',
+            "x:4: handshake: rate must be requests a min",
+        ),
+        (EVENTS + 'handshake = { origin = "a", renew_s = 0 }\n', "x:4: handshake: renew_s must be seconds"),
         (EVENTS + "usual_ms = { pay = 0 }\n", "x:4: usual_ms: milliseconds from 1 to 1e9"),
     ],
 )
--- a/tests/test_partners_cloudevents.py
+++ b/tests/test_partners_cloudevents.py
@@ -1,13 +1,20 @@
 """The CloudEvents codec for partners: what is written, and what each answer means."""
 
+import asyncio
 import json
+from dataclasses import replace
 
 import h11
 import pytest
+from doubles import run
+from test_node import Bench
 
+from crowpier import Dispatcher
 from crowpier.interface import Outcome
 from rushhitch.cloudevents.events import Event
 from rushhitch.cloudevents.http import decode
+from rushhitch.fronts.taker import Offer
+from rushhitch.node import Node, with_singles
 from rushhitch.partners.cloudevents import MODES, MOST_WAIT_MS, CloudEvents, retry_after_ms
 from rushhitch.partners.codec import Attempt
 
@@ -128,3 +135,31 @@
 )
 def test_a_delivery_counts_from_its_first_line_on(head, delivered):
     assert codec().delivered(head) is delivered
+
+
+def test_the_decisions_count_as_many_calls_as_are_made_where_a_kind_takes_batches_and_its_protocol_none(
+    tmp_path,
+):
+    # Ten messages a call by the kind: a slot of the decisions would hold ten calls.
+    async def work():
+        bench = await Bench().start(tmp_path)
+        settings = replace(
+            bench.node.settings, kinds=(replace(bench.node.settings.kinds[0], batch=10),), slots=3
+        )
+        settings = with_singles(settings)
+        node = Node(settings, Dispatcher(settings, 1), bench.journal, bench.node.notify)
+        node.codecs = {7: CloudEvents("binary", "/rushhitch", {})}
+        node.listed({"version": 42, "full": True, "servers": [bench.row]})
+        for number in range(8):
+            node.offer(Offer(b"m%d" % number, "note", 7, 6000.0, b""), lambda reply: None)
+        first = [await bench.partner.next() for _ in range(3)]
+        await asyncio.sleep(0.2)
+        assert bench.partner.requests.empty(), "three slots are three calls"
+        for request in first:
+            request.answer(202)
+        for _ in range(5):
+            (await bench.partner.next()).answer(202)
+        await node.idle.wait()
+        bench.journal.close()
+
+    run(work())
