--- a/rushhitch/planning/planner.py
+++ b/rushhitch/planning/planner.py
@@ -18,7 +18,7 @@
 from rushhitch.planning.slots import AHEAD_MS, DEALT_PER_S, Slots
 
 LEASE_MS = 2_000.0  # a grant holds so long from when its forwarder asked
-SAFE_SHARE, SAFE_MS = 0.8, 5_000.0  # and then so much of it for so long, for a forwarder that is cut off
+SAFE_SHARE, SAFE_MS = 0.9, 5_000.0  # and then so much of it for so long, for a forwarder that is cut off
 ALIVE_MS = 1_500.0  # a forwarder or planner not heard for so long is thought gone; grants still count
 # A planner that begins on a lane: a former one may go on granting until it hears of it, at most ALIVE_MS, and
 # those grants must have lapsed.
