What a learning planner gives back fits a limit that has shrunk since

A report tells its grant as the part of the limit as told now, the planner lowers it to its own estimate, and who has freed itself gets nothing back.

--- a/rushhitch/planning/guidance.py
+++ b/rushhitch/planning/guidance.py
@@ -75,7 +75,7 @@
     held: dict[str, Held] = field(default_factory=dict)
     told: Allowance | None = None
     told_at: float = -math.inf
-    dealt: tuple[float, float] = (0.0, -math.inf)  # the last grant that was dealt: whole rate, when asked for
+    dealt: tuple[float, float, float] = (0.0, -math.inf, 0.0)  # last one dealt: rate, when asked for, limit
     fresh: bool = False  # moments came that the module has not been told
 
     def newest(self) -> Held | None:
@@ -104,7 +104,7 @@
                 continue
             lane.held[answer.planner] = Held(grant, answer.planner, asked_at)
             if not grant.confirms and asked_at > lane.dealt[1]:
-                lane.dealt = (max(grant.per_s, 0.0), asked_at)
+                lane.dealt = (max(grant.per_s, 0.0), asked_at, grant.limit)
             lane.fresh = grant.slots_ms > 0
             if grant.wait_ms > 0:
                 self.waits[grant.lane] = max(self.waits.get(grant.lane, 0.0), now + grant.wait_ms)
@@ -164,7 +164,8 @@
 
     def holding(self, now: float, name: str) -> tuple[float, str, int, int, float, bool, float, float]:
         """For a report: rate, planner, term and number of the grant it goes by, the limit it told, whether
-        it has lapsed with its safe time; the whole rate of the last one that was dealt, and its age in ms."""
+        it has lapsed with its safe time; what the last one that was dealt is of the limit as told now, and
+        its age in ms."""
         lane = self.lanes.get(name)
         newest = lane.newest() if lane else None
         if lane is None or newest is None:
@@ -172,7 +173,9 @@
         grant, bound = newest.grant, newest.bound(now)
         if bound == math.inf:  # nothing binds, or not any more
             bound = 0.0
-        granted, asked_at = lane.dealt
+        granted, asked_at, limit = lane.dealt
+        if 0 < grant.limit < limit:  # its part of a limit that has shrunk meanwhile
+            granted *= grant.limit / limit
         asked_ms = min(max(now - asked_at, 0.0), LONG_MS)
         freed = newest.freed(now)
         return bound, newest.planner, grant.term, grant.seq, grant.limit, freed, granted, asked_ms
--- a/rushhitch/planning/messages.py
+++ b/rushhitch/planning/messages.py
@@ -29,7 +29,8 @@
     seq: int = 0
     limit: float = 0.0  # what that grant said the lane's limit is; 0 where it said nothing
     freed: bool = False  # that grant has lapsed with its safe time: no planner reckons with `holding`
-    granted: float = 0.0  # the whole rate of the last grant that was dealt, not confirmed; 0 if there is none
+    granted: float = 0.0  # the whole rate of the last grant that was dealt, not confirmed, or its part of a
+    # limit that has shrunk since; 0 if there is none
     asked_ms: float = 0.0  # since that grant was asked for, by the forwarder's clock
 
     def sound(self) -> bool:
--- a/rushhitch/planning/planner.py
+++ b/rushhitch/planning/planner.py
@@ -259,7 +259,7 @@
             # Nothing is dealt anew: others may hold grants that this planner has not heard of yet. One that
             # has freed itself gets no grant, but stays where it is until lanes are dealt again.
             per_s = self.confirmed(now, lane, share)
-            counts = not share.report.freed or per_s > share.report.holding
+            counts = not share.report.freed
             if not counts:
                 per_s = min(per_s, capacity)
             elif capacity < math.inf:
@@ -310,10 +310,13 @@
         in their lease at one moment, so the former planner let them add up to the limit at most; of one that
         is older than the others it may have dealt out again what lapsed."""
         report = share.report
-        if report.granted <= report.holding or now - lane.owned_since < HEAR_MS:
+        if report.freed or report.granted <= report.holding or now - lane.owned_since < HEAR_MS:
             return report.holding
         newest = max(other.dealt_at() for other in lane.shares.values())
-        return report.granted if newest - share.dealt_at() < TOGETHER_MS else report.holding
+        if newest - share.dealt_at() >= TOGETHER_MS:
+            return report.holding
+        shrunk = min(self.capacity(now, lane) / report.limit, 1.0) if report.limit else 1.0
+        return max(report.granted * shrunk, report.holding)
 
     def moments(
         self, now: float, lane: Lane, forwarder: str, capacity: float, shares: dict[str, float]
