--- a/lab/history.py
+++ b/lab/history.py
@@ -29,7 +29,7 @@
 Event = dict[str, Any]
 
 ACCEPTED = "accepted"
-NEVER_RAN = frozenset({"turned away", "deferred", "expired", "no_more", "not sent"})
+NEVER_RAN = frozenset({"turned away", "deferred", "expired", "no_more", "not sent", "denied"})
 MAY_HAVE_RUN = frozenset({ACCEPTED, "fault", "error", "spoilt", "reset"})
 
 
--- a/lab/partners.py
+++ b/lab/partners.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from lab.bank import Bank
 from lab.events import messages as event_messages
 from lab.history import ACCEPTED, History
 from lab.http import HttpConnection, Request, port_of, serve
@@ -45,6 +46,9 @@
     idle_ms: float = 10_000.0  # a connection that stood idle so long is closed
     connections: int = 200  # by endpoint; one more is reset
     speaks: str = "platform"  # or "binary", "structured", "batch": CloudEvents
+    acknowledges_ms: float = 0.0  # it answers 202 and says so long later, by an event, what became of it
+    denies: float = 0.0  # share of what it has answered that it did not do after all
+    agrees_per_min: int = 0  # it must be asked whether it wants events, and then states that rate
     deferred: float = 0.0  # share of a batch's messages that it defers, and that fail
     fault: float = 0.0
 
@@ -104,6 +108,7 @@
         self.cold = cold
         self.endpoints: dict[str, Endpoint] = {}
         self.lanes: dict[str, Lane] = {}
+        self.bank = Bank(self)
         self.admitted: dict[str, list[float]] = {}  # by lane, the times of calls, for the pressure
         self.loop = asyncio.get_running_loop()
 
@@ -176,6 +181,7 @@
         return endpoint
 
     def stop(self) -> None:
+        self.bank.stop()
         for endpoint in self.endpoints.values():
             for server in endpoint.servers.values():
                 server.close()
@@ -212,6 +218,9 @@
     # Calls
 
     def handle(self, endpoint: Endpoint, dispatcher: str, request: Request) -> None:
+        if request.method == b"OPTIONS":
+            self.agree(endpoint, request)
+            return
         if request.target == b"/alive":
             request.connection.answer(503 if endpoint.lane.faults.outage else 200)
             return
@@ -313,7 +322,21 @@
             roll -= share
         self.end_well(endpoint, request, call, ids)
 
+    def agree(self, endpoint: Endpoint, request: Request) -> None:
+        """The handshake of web hooks (HTTP 1.1 Web Hooks, section 4)."""
+        rate = endpoint.spec.agrees_per_min
+        if endpoint.lane.faults.outage or not rate:
+            request.connection.answer(503 if endpoint.lane.faults.outage else 405)
+            return
+        origin = request.headers.get(b"webhook-request-origin", b"")
+        told = b"WebHook-Allowed-Origin: %s\r\nWebHook-Allowed-Rate: %d\r\n" % (origin, rate)
+        request.connection.answer(200, b"", told)
+
     def end_well(self, endpoint: Endpoint, request: Request, call: int, ids: list[str]) -> None:
+        if endpoint.spec.acknowledges_ms:
+            request.connection.answer(202)
+            self.bank.owe(endpoint, request, call, ids)
+            return
         if request.target != MANY:
             self.reply(call, ids, ACCEPTED)
             request.connection.answer(200)
--- a/lab/run.py
+++ b/lab/run.py
@@ -17,7 +17,7 @@
 
 from crowpier.benchlink import settings_of
 from crowpier.interface import Settings
-from lab import events, report
+from lab import bank, events, report
 from lab.clients import Ask, Clients
 from lab.directory import Directory
 from lab.history import History
@@ -126,12 +126,17 @@
             hit = any(fault.what == "way" for fault in self.scenario.faults)
             own = await self.own_ways(name) if hit else toml
             dispatcher = Dispatcher(name, self.folder / name, config, self.history, own)
-            dispatcher.serves = self.clients.serves
+            dispatcher.serves = self.serves
             dispatcher.known = self.directory.known
             dispatcher.words = ("forward",) if self.planners else ()
             self.dispatchers[name] = dispatcher
             await dispatcher.start()
 
+    def serves(self, name: str, port: int | None, event_port: int = 0) -> None:
+        """A dispatcher is up, or (None) it is not."""
+        self.clients.serves(name, port, event_port)
+        self.partners.bank.serves(name, event_port if port is not None else 0)
+
     def choose_ports(self) -> None:
         """Planners' ports are fixed before they listen, so that they may start again."""
         for number in range(self.scenario.planners):
@@ -154,6 +159,10 @@
         modes = {spec.dest: spec.speaks for spec in self.scenario.partners if spec.speaks != "platform"}
         if modes or set(self.scenario.clients) != {"resp2"}:
             journal += events.toml([cls.name for cls in self.scenario.classes], modes)
+            if banks := [spec.dest for spec in self.scenario.partners if spec.acknowledges_ms]:
+                journal += bank.toml(banks)
+            if asked := [spec.dest for spec in self.scenario.partners if spec.agrees_per_min]:
+                journal += f'handshake = {{ origin = "lab.example.com", destinations = {asked} }}\n'
         if not ports:
             return journal
         secret = self.folder / "secret"
@@ -223,7 +232,7 @@
 
     def settled(self) -> bool:
         """Whether nothing can come any more: no message open, no fault still on."""
-        if self.tasks or self.clients.tasks:
+        if self.tasks or self.clients.tasks or self.partners.bank.tasks:
             return False
         ended = {event["id"] for event in self.history.events if event["what"] == "notice"}
         for event in self.history.events:
--- a/rushhitch/acknowledgements.py
+++ b/rushhitch/acknowledgements.py
@@ -39,8 +39,6 @@
     """What to do with one for a message that is held."""
 
     DELIVER = "it is over"
-    FAIL = "it is over, and may have run"
-    REFUSE = "it is over, and never ran"
     RETRY = "its attempt has this outcome: the decision module says what comes next"
     AWAIT = "its call is still out, and has this outcome once it ends"
     NOTHING = "it tells nothing new"
@@ -52,20 +50,15 @@
 MEANS = {"delivered": Verdict.DELIVERED, "failed": Verdict.RAN, "refused": Verdict.NOT_RUN}
 
 
-def effect(
-    told: Acknowledgement, marks: list[bytes], attempts: int, out: int, handed: bool, ordered: bool
-) -> Effect:
+def effect(told: Acknowledgement, marks: list[bytes], attempts: int, out: int, handed: bool) -> Effect:
     """What it does to a message with so many `attempts`, of which `out` are in calls; `handed`: the last one
-    was answered with 202, and nothing was heard since. `marks` are those that were heard before; `ordered`,
-    whether others of its key may have gone out behind it, so that it must not go again by itself."""
+    was answered with 202, and nothing was heard since. `marks` are those that were heard before."""
     if told.mark in marks:
         return Effect.NOTHING
     if not attempts:
         return Effect.UNKNOWN
     if told.verdict is Verdict.DELIVERED:  # also of an attempt whose connection broke
         return Effect.DELIVER
-    if handed and ordered:
-        return Effect.REFUSE if told.verdict is Verdict.NOT_RUN else Effect.FAIL
     if handed:
         return Effect.RETRY
     if not out:
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -43,6 +43,7 @@
 STATED_MS = 1_000.0  # a partner's stated limit holds so long in the decision module, unless told again
 SINGLY = ", one message a call"  # after a kind's name
 ACCEPTED = 202
+RAN = {Verdict.NOT_RUN: Outcome.MOOT, Verdict.RAN: Outcome.ERROR}  # what a negative acknowledgement means
 ACK_MARGIN_S = 0.1  # before its time is up, a message that no acknowledgement has come for is failed
 RETRY_S = 0.25  # between two tries to write what a full disk did not take
 
@@ -60,6 +61,7 @@
     over: bool = False
     out: set[int] = field(default_factory=set)
     handed: bool = False  # the module is done with it; its partner's acknowledgement is to come
+    pending: Result | None = None  # of a call that to the module is out until the acknowledgement comes
     waiting: bool = False  # the module hears of it anew once its other attempts have ended
     sink: bytes = b""  # the event's attributes, where its end is to be told to a sink
     verdict: Verdict | None = None  # one that came before its call had ended
@@ -315,7 +317,7 @@
                 self.notices.append((kept.number, kept.id, "dead", 0.0))
                 continue
             message = self.enter(kept)
-            if kept.handed is not None and self.acknowledges(kept.destination):
+            if kept.handed is not None and self.acknowledges(kept.destination) and not self.ordered(kept):
                 self.hand_over(message)
             else:
                 self.arrive(message)
@@ -347,6 +349,10 @@
         """Whether its answers may only say that an acknowledgement is to come."""
         return self.codecs.get(destination, PLATFORM).later(ACCEPTED)
 
+    def ordered(self, kept: Kept) -> bool:
+        """Whether messages of its key go one after another."""
+        return bool(kept.key) and self.settings.classes[self.classes[kept.cls]].in_order
+
     def hand_over(self, message: Message) -> None:
         """The call was answered; what became of the message is told later, or it fails in time."""
         message.handed = True
@@ -356,6 +362,8 @@
         if not message.over:
             log.info("message %d was not acknowledged in time", message.number)
             self.answer_end(message, "dead", 0.0)
+            if message.pending is not None:
+                self.attempt_ended(replace(message.pending, later=False))
             self.save()
 
     def acknowledge(self, told: Acknowledgement, answer: Answer) -> None:
@@ -365,21 +373,19 @@
             answer(self.past.answer(told, time.time()))
             return
         kept = message.kept
-        ordered = bool(kept.key) and self.settings.classes[self.classes[kept.cls]].in_order
-        found = effect(told, kept.marks, message.attempts, len(message.out), message.handed, ordered)
+        found = effect(told, kept.marks, message.attempts, len(message.out), message.handed)
         if found is Effect.UNKNOWN:
             answer(UNKNOWN)
             return
         if found is Effect.LATER:
             answer(Reply("refused", BUSY_MS))
             return
-        if found in (Effect.DELIVER, Effect.FAIL, Effect.REFUSE):
-            if not message.handed:
+        if found is Effect.DELIVER:
+            self.close(message)
+            if message.pending is not None:
+                self.attempt_ended(replace(message.pending, later=False))
+            elif not message.handed:
                 self.note(api.Withdrawn(message.number))
-            if found is Effect.DELIVER:
-                self.close(message)
-            else:
-                self.answer_end(message, "dead" if found is Effect.FAIL else "bounced", 0.0)
         elif found in (Effect.RETRY, Effect.AWAIT):
             (attempt,) = (kept.handed,) if message.handed else message.out
             if told.verdict is Verdict.NOT_RUN:
@@ -391,9 +397,13 @@
             if message.handed:
                 message.handed = False
                 self.watch(message, message.due + OVERDUE_S, self.overdue)
-                message.waiting = bool(message.out)
-                if not message.waiting:
+                if message.pending is not None:
+                    ran = RAN[told.verdict]
+                    self.attempt_ended(replace(message.pending, outcome=ran, over=False, later=False))
+                elif not message.out:
                     self.arrive(message)
+                else:
+                    message.waiting = True
             else:
                 message.verdict = told.verdict
         self.save(lambda: answer(ACKNOWLEDGED), lambda: answer(Reply("refused", BUSY_MS)))
@@ -405,13 +415,23 @@
     def attempt_ended(self, result: Result) -> None:
         message = self.messages[result.attempt.message]
         if message.verdict is not None:  # its acknowledgement came first, and counts
-            ran = Outcome.MOOT if message.verdict is Verdict.NOT_RUN else Outcome.ERROR
-            result, message.verdict = replace(result, outcome=ran, over=False, later=False), None
+            result = replace(result, outcome=RAN[message.verdict], over=False, later=False)
+            message.verdict = None
+        message.pending = None
         if result.over and self.loop.time() >= result.first_due - ANSWER_MARGIN_S:
             # Guards against a message that is lost: to a client, whose time began earlier, it may have been
             # over before this answer, which then proves nothing, for any message of the call. So what may not
             # run twice is told as failed, which does no harm where it was delivered; what may goes again.
             result = replace(result, over=False)
+        kept, later = message.kept, result.over and result.later and not message.over
+        if later:
+            if message.number in self.journal.live:
+                self.journal.handed(message.number, result.attempt.number)
+            self.hand_over(message)
+            if self.ordered(kept):
+                message.pending = result  # to the module the attempt stays out: the next of its key must wait
+                self.save()
+                return
         message.out.discard(result.attempt.number)
         if self.counts is not None:
             now = self.loop.time() * 1000.0
@@ -422,11 +442,7 @@
             and not result.over
         ):
             self.journal.outcome(message.number, result.attempt.number, not result.outcome.never_ran)
-        if result.over and result.later and not message.over:
-            if message.number in self.journal.live:
-                self.journal.handed(message.number, result.attempt.number)
-            self.hand_over(message)
-        elif result.over:
+        if result.over and not later:
             self.close(message)
         self.save()
         self.note(
@@ -576,7 +592,13 @@
             case api.Refuse(number, stay_away_ms):
                 self.answer_end(self.messages[number], "bounced", stay_away_ms)
             case api.Cancel(number, attempt):
-                self.endpoints.cancel(number, attempt)
+                held = self.messages.get(number)
+                if held is not None and (result := held.pending) and result.attempt.number == attempt:
+                    held.handed = False
+                    cancelled = replace(result, outcome=Outcome.CANCELLED, over=False, later=False)
+                    self.attempt_ended(cancelled)
+                else:
+                    self.endpoints.cancel(number, attempt)
             case api.Remind(in_ms, token):
                 if self.reminder is not None:  # the module asks anew only for an earlier time
                     self.reminder.cancel()
--- a/rushhitch/partners/handshake.py
+++ b/rushhitch/partners/handshake.py
@@ -103,6 +103,7 @@
             log.info("%s agrees to be sent events: %s", endpoint, rate)
         else:
             log.warning("%s does not agree to be sent events: %s", endpoint, known.why)
+        self.node.state_limits(self.rates())  # before the first call can go
         self.node.regate(endpoint)
 
     # Stated limits
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -388,3 +388,35 @@
     assert any(len(name) == 32 for name in names) and any(name.startswith("m") for name in names)
     served = {event["endpoint"] for event in events if event["what"] == "call"}
     assert served >= {"bank-1", "firm-1", "office-1", "chamber-1"}
+
+
+BANKS = (
+    MIXED
+    + """
+[[partner]]
+name = "slow-bank"
+dest = 5
+speaks = "binary"
+acknowledges_ms = 500.0
+denies = 0.2
+load = { note = 10.0, pay = 10.0 }
+[[partner]]
+name = "careful-bank"
+dest = 6
+speaks = "structured"
+acknowledges_ms = 200.0
+agrees_per_min = 600
+load = { note = 8.0, pay = 8.0 }
+"""
+)
+
+
+def test_on_a_day_of_banks_that_must_agree_and_acknowledge_later_the_rules_are_kept(tmp_path):
+    played = play(parse(BANKS + MIXED_FAULTS, "banks"), folder=tmp_path)
+    assert played.sound and played.total.open == 0, "\n".join(map(str, [*played.crashed, *played.broken]))
+    events = played.history.events
+    lanes = {event["call"]: event["endpoint"] for event in events if event["what"] == "call"}
+    ends = {(lanes[e["call"]], end) for e in events if e["what"] == "reply" for end in e["ends"].values()}
+    assert ends >= {("slow-bank-1", "accepted"), ("slow-bank-1", "denied"), ("careful-bank-1", "accepted")}
+    usual, _ = pressure(played.admitted["careful-bank"], 10.0, 2000.0)
+    assert usual <= 1.1, "the rate that it states"
--- a/tests/test_protocols.py
+++ b/tests/test_protocols.py
@@ -38,6 +38,19 @@
 }
 
 
+FOUND = {}  # by script: the end and the sends, by front and partner
+
+
+def table():
+    """What was found, a line a script: `conftest.py` prints it at the end of a run."""
+    lines = [f"{'final answer and sends, by front and partner':44}" + " ".join(f"{p:>12}" for p in PARTNERS)]
+    for name, cells in FOUND.items():
+        for way in FRONTS:
+            row = " ".join(f"{cells.get((way, speaks), '-'):>12}" for speaks in PARTNERS)
+            lines.append(f"{name:34}{way:>10}{row}")
+    return lines
+
+
 class Partner(Peer):
     """Its first connections may end while the request comes in."""
 
@@ -148,6 +161,7 @@
 
     async def work():
         end, seen = await play(tmp_path / "n", way, speaks, cls, script, monkeypatch)
+        FOUND.setdefault(name, {})[way, speaks] = f"{end} {len(seen)}"
         assert (end, len(seen)) == (expected, sends)
         told = {identity(request, speaks) for request in seen}
         assert len(told) == 1, "its attempts are not the same message"
