A length beside chunks is refused; the batch front is in the suite of all protocols

h11 takes Content-Length beside Transfer-Encoding, and goes by the chunks: a proxy before us could take such a request for two. Hostile cases over the wire, a client that waits over a restart, and batched mode as a front are tested; the suite prints a table of final answers and sends.

--- a/rushhitch/fronts/cloudevents.py
+++ b/rushhitch/fronts/cloudevents.py
@@ -268,6 +268,10 @@
         """What speaks against a request before its body has come."""
         if request.method != b"POST":
             return Outcome.problem(405, f"{request.method[:20].decode('latin-1')}: use POST")
+        names = [name for name, _ in request.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            # Guards against requests that a proxy before us takes apart otherwise (RFC 9112, section 6.1).
+            return Outcome.problem(400, "Content-Length beside Transfer-Encoding: send one of them")
         for name, value in request.headers:
             if name == b"content-length" and int(value) > MOST_BATCH:
                 return Outcome.problem(413, f"a body of {int(value)} bytes, more than {MOST_BATCH}")
--- a/tests/test_fronts_cloudevents.py
+++ b/tests/test_fronts_cloudevents.py
@@ -16,9 +16,11 @@
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
 from rushhitch.fronts.taker import DELIVERED, FAILED
+from rushhitch.journal import Journal
 from rushhitch.journal.inspect import table
 from rushhitch.node import Node
 
+front_of = front
 RULES = Rules({"com.example.note": "note", "com.example.pay": "pay"}, {"note": 6000.0, "pay": 24000.0})
 EVENT = {"specversion": "1.0", "id": "1", "source": "/books", "type": "com.example.note", "subject": "7"}
 
@@ -284,6 +286,95 @@
         assert (await good.answer())[0] == 202
 
 
+HEAD = "POST / HTTP/1.1\r\nHost: x\r\n" + "".join(f"ce-{name}: {value}\r\n" for name, value in EVENT.items())
+
+
+@pytest.mark.parametrize(
+    ("data", "statuses"),
+    [
+        # A length beside chunks, which two readers could take for two requests (RFC 9112, section 6.1).
+        (HEAD + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", [400]),
+        (HEAD + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", [400]),
+        # A length that is too short: the event is what it says, the rest is no request.
+        (HEAD + "Content-Length: 3\r\n\r\nhello\r\n\r\n", [202, 400]),
+        # A folded header counts as one line, with a space (RFC 9112, section 5.2).
+        (HEAD.replace("ce-id: 1", "ce-id: 1\r\n 2") + "Content-Length: 0\r\n\r\n", [202]),
+        # A header of ours that is there twice, or cannot be read.
+        (HEAD + "ce-id: 2\r\nContent-Length: 0\r\n\r\n", [400]),
+        (HEAD + "CE-Id: 1\r\nContent-Length: 0\r\n\r\n", [400]),
+        (HEAD + "ce-name: %C3%28\r\nContent-Length: 0\r\n\r\n", [400]),
+        (HEAD + "ce-name: \xff\r\nContent-Length: 0\r\n\r\n", [400]),
+        (HEAD + "ce name: 1\r\nContent-Length: 0\r\n\r\n", [400]),
+        # Too much, told before it is sent: no 100 Continue.
+        (HEAD + "Expect: 100-continue\r\nContent-Length: 9999999\r\n\r\n", [413]),
+    ],
+)
+def test_requests_that_two_readers_could_take_apart_are_refused(tmp_path, data, statuses):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.writer.write(data.encode("latin-1"))
+        for status in statuses:
+            assert (await client.answer())[0] == status
+        assert len(front.node.by_id) == statuses.count(202)
+
+
+def test_a_length_that_is_too_long_waits_and_is_told_so(tmp_path, monkeypatch):
+    monkeypatch.setattr(listener, "SILENT_S", 0.3)
+
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.writer.write((HEAD + "Content-Length: 9\r\n\r\nhello").encode())
+        assert (await client.answer())[0] == 408 and not front.node.by_id
+
+
+def test_data_is_read_as_its_content_type_has_it(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        for number, (kind, data, body) in enumerate(
+            [
+                ("application/json", "text", b'"text"'),
+                ("text/plain", "text", b"text"),
+                ("application/vnd.x+json", {"a": 1}, b'{"a": 1}'),
+            ]
+        ):
+            client.structured(id=str(number), datacontenttype=kind, data=data)
+            assert (await client.answer())[0] == 202
+            request = await front.partner.next()
+            assert request.body == body
+            request.answer(200)
+        client.structured(id="9", datacontenttype="text/plain", data={"a": 1})
+        status, _, told = await client.answer()
+        assert status == 400 and told["attribute"] == "data"
+
+
+def test_a_client_that_waits_while_the_dispatcher_restarts_hears_the_end_when_it_posts_again(tmp_path):
+    @with_front(tmp_path)
+    async def _(front):
+        client = await front.connect()
+        client.binary(more={"Prefer": "wait=30"})  # it may run twice
+        await front.partner.next()
+        client.writer.transport.abort()  # the process is killed
+        front.clients.stop_listening()
+        for message in front.node.messages.values():
+            message.watchdog.cancel()
+        front.core.journal.close()
+        front.core.journal = Journal(tmp_path / "state", 3e6)
+        old = front.node
+        front.node = Node(old.settings, type(old.dispatcher)(old.settings, 1), front.core.journal, old.notify)
+        front.node.listed({"version": 42, "full": True, "servers": [front.core.row]})
+        front.node.resume()
+        front.clients = Clients(front.node, 16)
+        front.http = await front.clients.listen(("127.0.0.1", 0), front_of(RULES))
+        client = await front.connect()
+        client.binary(more={"Prefer": "wait=30"})
+        (await front.partner.next()).answer(200)
+        status, headers, told = await client.answer()
+        assert status == 200 and told["state"] == "delivered" and headers["preference-applied"] == "wait=30"
+
+
 def test_a_body_that_goes_on_without_end_is_cut_off(tmp_path):
     @with_front(tmp_path)
     async def _(front):
--- a/tests/test_protocols.py
+++ b/tests/test_protocols.py
@@ -18,7 +18,7 @@
 from rushhitch.fronts.resp2 import Resp2
 from rushhitch.partners.cloudevents import CloudEvents
 
-FRONTS = ("resp2", "binary", "structured")
+FRONTS = ("resp2", "binary", "structured", "batch")
 PARTNERS = ("platform", "binary", "structured", "batch")
 # What befalls the attempts of a message, one after another; its end, and how many attempts reach the partner.
 SCRIPTS = {
@@ -43,11 +43,11 @@
 
 def table():
     """What was found, a line a script: `conftest.py` prints it at the end of a run."""
-    lines = [f"{'final answer and sends, by front and partner':44}" + " ".join(f"{p:>12}" for p in PARTNERS)]
+    lines = [f"{'final answer and sends, by front and partner':46}" + " ".join(f"{p:>12}" for p in PARTNERS)]
     for name, cells in FOUND.items():
         for way in FRONTS:
             row = " ".join(f"{cells.get((way, speaks), '-'):>12}" for speaks in PARTNERS)
-            lines.append(f"{name:34}{way:>10}{row}")
+            lines.append(f"{name:36}{way:>10}{row}")
     return lines
 
 
@@ -101,8 +101,10 @@
     kind = f"com.example.{cls}"
     if way == "binary":
         client.binary(body, type=kind)
-    else:
+    elif way == "structured":
         client.structured(type=kind, datacontenttype="text/plain", data=body.decode())
+    else:
+        client.batch([EVENT | {"type": kind, "datacontenttype": "text/plain", "data": body.decode()}])
     assert (await client.answer())[0] == 202
 
 
