--- a/rushhitch/planning/planner.py
+++ b/rushhitch/planning/planner.py
@@ -263,19 +263,13 @@
             if not counts:
                 per_s = min(per_s, capacity)
             elif capacity < math.inf:
-                promised, total = share.promised(now), lane.all_promised(now)
-                if total > capacity:  # the limit has shrunk: each goes down to its part of it
-                    promised *= capacity / total
-                per_s = min(per_s, max(capacity - self.promised_to_others(now, lane, forwarder), promised))
+                per_s = min(per_s, self.room(now, lane, forwarder, capacity))
             slots = (0.0, 0, [])
         elif capacity == math.inf:
             per_s, slots = math.inf, (0.0, 0, [])
         else:
-            # No more than is left, and never more than adds to what may be in use: where the limit has
-            # shrunk, each goes down to its part of it at once, and nobody to nothing.
-            room = max(capacity - self.promised_to_others(now, lane, forwarder), share.promised(now))
             shares = self.divided(now, lane, capacity)
-            per_s = min(shares.get(forwarder, 0.0), room)
+            per_s = min(shares.get(forwarder, 0.0), self.room(now, lane, forwarder, capacity))
             slots = self.moments(now, lane, forwarder, capacity, shares)
         self.seq += 1
         bounded = per_s < math.inf
@@ -335,6 +329,15 @@
         idle = 0.0 if lane.coming_back.cold else max(1.0 - lane.needed, 0.0)
         return max(per_s * BURST_MS / 1000.0, 1.0) + idle * capacity * IDLE_MS / 1000.0
 
+    def room(self, now: float, lane: Lane, forwarder: str, capacity: float) -> float:
+        """No more than is left, and never more than adds to what may be in use. Where the limit has shrunk,
+        each goes down to its part of it, and nobody to nothing: also below its share, as long as some that
+        are not heard may be using more than theirs."""
+        promised, total = lane.shares[forwarder].promised(now), lane.all_promised(now)
+        if total > capacity:
+            promised *= capacity / total
+        return max(capacity - self.promised_to_others(now, lane, forwarder), promised)
+
     def promised_to_others(self, now: float, lane: Lane, forwarder: str) -> float:
         return lane.all_promised(now) - lane.shares[forwarder].promised(now)
 
