--- a/tests/lives.py
+++ b/tests/lives.py
@@ -162,6 +162,9 @@
 class Life:
     """One process: starts on the folder, and is gone when a `Crash` comes out of any call."""
 
+    partner = Partner
+    codecs = None
+
     def __init__(self, outside: Outside, files: Files, number: int, disk=DISK, sync=Sync.NONE) -> None:
         self.outside, self.files = outside, files
         settings = json.loads(json.dumps(TOLD))
@@ -169,8 +172,8 @@
         settings["familyInfo"]["batchByKind"] = [1]
         told = settings_of(json.dumps(settings).encode())
         self.journal = Journal(files.folder, disk, sync, files, outside.time.time)
-        partner = Partner(outside, number)
-        self.node = Node(told, Dispatcher(told, 1), self.journal, self.notify)
+        partner = self.partner(outside, number)
+        self.node = Node(told, Dispatcher(told, 1), self.journal, self.notify, codecs=self.codecs)
         self.node.loop, self.node.endpoints, partner.node = outside.time, partner, self.node
         row = {"addr": "127.0.0.1:1", "zone": "a", "kind": "firms", "cell": 7, "state": "SERVING"}
         rows = [row | {"id": name, "weight": 1.0, "started_ms": 0} for name in ("e1", "e2", "e3")]
