--- a/rushhitch/planning/guidance.py
+++ b/rushhitch/planning/guidance.py
@@ -18,7 +18,6 @@
 )
 GROW_MOST = 20.0  # times the last grant: then it is dropped
 TELL_MS = 1_000.0  # what the module is told holds a little longer than until it is told anew
-LONG_MS = 3_600_000.0  # a grant that was asked for longer ago is as old as this to a planner
 STEP = 0.02  # a bound that moved by less is not told anew before it runs out
 
 
@@ -75,7 +74,6 @@
     held: dict[str, Held] = field(default_factory=dict)
     told: Allowance | None = None
     told_at: float = -math.inf
-    dealt: tuple[float, float, float] = (0.0, -math.inf, 0.0)  # last one dealt: rate, when asked for, limit
     fresh: bool = False  # moments came that the module has not been told
 
     def newest(self) -> Held | None:
@@ -103,8 +101,6 @@
             if known is not None and known.grant.term == grant.term and known.grant.seq >= grant.seq:
                 continue
             lane.held[answer.planner] = Held(grant, answer.planner, asked_at)
-            if not grant.confirms and asked_at > lane.dealt[1]:
-                lane.dealt = (max(grant.per_s, 0.0), asked_at, grant.limit)
             lane.fresh = grant.slots_ms > 0
             if grant.wait_ms > 0:
                 self.waits[grant.lane] = max(self.waits.get(grant.lane, 0.0), now + grant.wait_ms)
@@ -162,28 +158,22 @@
                     del self.lanes[name]
         return found
 
-    def holding(self, now: float, name: str) -> tuple[float, str, int, int, float, bool, float, float]:
-        """For a report: rate, planner, term and number of the grant it goes by, the limit it told, whether
-        it has lapsed with its safe time; what the last one that was dealt is of the limit as told now, and
-        its age in ms."""
+    def holding(self, now: float, name: str) -> tuple[float, str, int, int, float, bool]:
+        """For a report: rate, planner, term and number of the grant it goes by, the limit it told, and
+        whether it has lapsed with its safe time."""
         lane = self.lanes.get(name)
         newest = lane.newest() if lane else None
         if lane is None or newest is None:
-            return 0.0, "", lane.term if lane else 0, 0, 0.0, False, 0.0, 0.0
+            return 0.0, "", lane.term if lane else 0, 0, 0.0, False
         grant, bound = newest.grant, newest.bound(now)
         if bound == math.inf:  # nothing binds, or not any more
             bound = 0.0
-        granted, asked_at, limit = lane.dealt
-        if 0 < grant.limit < limit:  # its part of a limit that has shrunk meanwhile
-            granted *= grant.limit / limit
-        asked_ms = min(max(now - asked_at, 0.0), LONG_MS)
-        freed = newest.freed(now)
-        return bound, newest.planner, grant.term, grant.seq, grant.limit, freed, granted, asked_ms
+        return bound, newest.planner, grant.term, grant.seq, grant.limit, newest.freed(now)
 
     def fill(self, now: float, row: LaneReport) -> None:
         """Put what it holds on the row's lane into the row."""
         held = self.holding(now, row.lane)
-        row.holding, row.planner, row.term, row.seq, row.limit, row.freed, row.granted, row.asked_ms = held
+        row.holding, row.planner, row.term, row.seq, row.limit, row.freed = held
 
 
 def alike(one: float, other: float) -> bool:
--- a/rushhitch/planning/messages.py
+++ b/rushhitch/planning/messages.py
@@ -29,9 +29,6 @@
     seq: int = 0
     limit: float = 0.0  # what that grant said the lane's limit is; 0 where it said nothing
     freed: bool = False  # that grant has lapsed with its safe time: no planner reckons with `holding`
-    granted: float = 0.0  # the whole rate of the last grant that was dealt, not confirmed, or its part of a
-    # limit that has shrunk since; 0 if there is none
-    asked_ms: float = 0.0  # since that grant was asked for, by the forwarder's clock
 
     def sound(self) -> bool:
         """Whether its figures are ones that a forwarder can have seen; a planner leaves it out otherwise."""
@@ -45,8 +42,6 @@
             self.wait_ms,
             self.holding,
             self.limit,
-            self.granted,
-            self.asked_ms,
         )
         return (
             0 < len(self.lane) <= MOST_NAME
@@ -85,7 +80,6 @@
     slots_ms: float = 0.0  # from when it asked, so long the moments of its calls are told; 0 where none are
     slot: int = 0  # the number of the first of them: each counts once, however often it is told
     slots: list[float] = field(default_factory=list)  # from when it asked
-    confirms: bool = False  # by a planner that learns: what was held, nothing dealt anew
     counts: bool = True  # False: no grant, but what one that has freed itself is to stay at meanwhile
 
 
--- a/rushhitch/planning/planner.py
+++ b/rushhitch/planning/planner.py
@@ -23,8 +23,6 @@
 # A planner that begins on a lane: a former one may go on granting until it hears of it, at most ALIVE_MS, and
 # those grants must have lapsed.
 LEARN_MS = LEASE_MS + SAFE_MS + ALIVE_MS
-HEAR_MS = 1_000.0  # of that time, until each forwarder has reported what it holds
-TOGETHER_MS = LEASE_MS / 2.0  # grants asked for within so long were all in their lease at one moment
 FORGET_MS = 60_000.0  # a lane or forwarder of which nothing is heard is forgotten
 BURST_MS = 100.0  # worth of a rate that may go at once; at least one call
 IDLE_MS = 300.0  # worth of a lane's limit that each may send at once where nobody needs it
@@ -69,11 +67,6 @@
         self.out -= taken + refused
         return taken, refused
 
-    def dealt_at(self) -> float:
-        """When the last grant that was dealt to it was asked for, by the clock of this planner; a little
-        later than it was, by the way of the report."""
-        return self.heard_at - self.report.asked_ms if self.report.granted else -math.inf
-
     def promised(self, now: float) -> float:
         """The most that it may be using now, or later, of what it was given."""
         return max((given.at(now) for given in self.given), default=0.0)
@@ -258,7 +251,7 @@
         if self.learning(now, lane):
             # Nothing is dealt anew: others may hold grants that this planner has not heard of yet. One that
             # has freed itself gets no grant, but stays where it is until lanes are dealt again.
-            per_s = self.confirmed(now, lane, share)
+            per_s = share.report.holding
             counts = not share.report.freed
             if not counts:
                 per_s = min(per_s, capacity)
@@ -294,24 +287,9 @@
             self.handicap(lane, forwarder),
             lane.limit.per_s if lane.limit.per_s < math.inf else LIMITLESS,
             *slots,
-            self.learning(now, lane),
             counts,
         )
 
-    def confirmed(self, now: float, lane: Lane, share: Share) -> float:
-        """What a forwarder goes on with while this planner learns: what it holds or, where that has lapsed to
-        its safe rate, the whole of its grant again. Those that were asked for at about the same time were all
-        in their lease at one moment, so the former planner let them add up to the limit at most; of one that
-        is older than the others it may have dealt out again what lapsed."""
-        report = share.report
-        if report.freed or report.granted <= report.holding or now - lane.owned_since < HEAR_MS:
-            return report.holding
-        newest = max(other.dealt_at() for other in lane.shares.values())
-        if newest - share.dealt_at() >= TOGETHER_MS:
-            return report.holding
-        shrunk = min(self.capacity(now, lane) / report.limit, 1.0) if report.limit else 1.0
-        return max(report.granted * shrunk, report.holding)
-
     def moments(
         self, now: float, lane: Lane, forwarder: str, capacity: float, shares: dict[str, float]
     ) -> tuple[float, int, list[float]]:
--- a/rushhitch/planning/wire.py
+++ b/rushhitch/planning/wire.py
@@ -25,7 +25,7 @@
 
 from rushhitch.planning.messages import MOST_NAME, Grant, Grants, LaneReport, Report
 
-MAGIC, VERSION = b"RHPL", 2
+MAGIC, VERSION = b"RHPL", 1
 FRAME = struct.Struct(">IB")
 HELLO = struct.Struct(">4sH16sB")
 MOST_FRAME = 4_194_304  # bytes: 20,000 lanes in one report
