A repeated early verdict, a second copy and a late stated rate no longer confuse the core

Found in reading again: two words that nothing ran, before the 202, broke the front's handler (a KeyError); a second copy's end made the core forget that an ordered attempt was pending; one that the module took back was still failed as unacknowledged; a rate stated while a planner's grant held lifted a lower grant, or did not bind for half a second. Tests for the first and the last; those of second copies are not caused by a test.

--- a/rushhitch/acknowledgements.py
+++ b/rushhitch/acknowledgements.py
@@ -50,9 +50,12 @@
 MEANS = {"delivered": Verdict.DELIVERED, "failed": Verdict.RAN, "refused": Verdict.NOT_RUN}
 
 
-def effect(told: Acknowledgement, marks: list[bytes], attempts: int, out: int, handed: bool) -> Effect:
+def effect(
+    told: Acknowledgement, marks: list[bytes], attempts: int, out: int, handed: bool, heard: bool = False
+) -> Effect:
     """What it does to a message with so many `attempts`, of which `out` are in calls; `handed`: the last one
-    was answered with 202, and nothing was heard since. `marks` are those that were heard before."""
+    was answered with 202, and nothing was heard since; `heard`: one has come for the call that is out.
+    `marks` are those that were heard before."""
     if told.mark in marks:
         return Effect.NOTHING
     if not attempts:
@@ -61,7 +64,7 @@
         return Effect.DELIVER
     if handed:
         return Effect.RETRY
-    if not out:
+    if not out or heard:
         return Effect.NOTHING
     return Effect.AWAIT if out == 1 else Effect.LATER
 
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -358,6 +358,11 @@
         message.handed = True
         self.watch(message, message.due - ACK_MARGIN_S, self.unacknowledged)
 
+    def take_back(self, message: Message) -> None:
+        """It is the module's again."""
+        message.handed = False
+        self.watch(message, message.due + OVERDUE_S, self.overdue)
+
     def unacknowledged(self, message: Message) -> None:
         if not message.over:
             log.info("message %d was not acknowledged in time", message.number)
@@ -372,8 +377,8 @@
         if message is None or message.kept.destination != told.destination:
             answer(self.past.answer(told, time.time()))
             return
-        kept = message.kept
-        found = effect(told, kept.marks, message.attempts, len(message.out), message.handed)
+        kept, heard = message.kept, message.verdict is not None
+        found = effect(told, kept.marks, message.attempts, len(message.out), message.handed, heard)
         if found is Effect.UNKNOWN:
             answer(UNKNOWN)
             return
@@ -395,8 +400,7 @@
                 if message.handed:
                     self.journal.outcome(message.number, attempt, may_have_run=True)
             if message.handed:
-                message.handed = False
-                self.watch(message, message.due + OVERDUE_S, self.overdue)
+                self.take_back(message)
                 if message.pending is not None:
                     ran = RAN[told.verdict]
                     self.attempt_ended(replace(message.pending, outcome=ran, over=False, later=False))
@@ -417,7 +421,8 @@
         if message.verdict is not None:  # its acknowledgement came first, and counts
             result = replace(result, outcome=RAN[message.verdict], over=False, later=False)
             message.verdict = None
-        message.pending = None
+        if message.pending is not None and message.pending.attempt.number == result.attempt.number:
+            message.pending = None
         if result.over and self.loop.time() >= result.first_due - ANSWER_MARGIN_S:
             # Guards against a message that is lost: to a client, whose time began earlier, it may have been
             # over before this answer, which then proves nothing, for any message of the call. So what may not
@@ -452,7 +457,7 @@
                 result.endpoint,
                 result.outcome,
                 result.took_ms,
-                message.over or message.handed or message.waiting,
+                message.over or message.waiting or (message.handed and message.pending is None),
                 result.wait_ms,
                 result.idled_ms,
                 result.kept,
@@ -483,7 +488,7 @@
         lane = self.counts.lane_of(allowance.lane)
         if lane is None:
             return
-        if lane in self.stated:
+        if self.gate is not None:
             self.granted[lane] = (self.loop.time() + allowance.for_ms / 1000.0, allowance)
         self.allow(lane, allowance)
 
@@ -506,8 +511,11 @@
         now = self.loop.time()
         self.granted = {lane: held for lane, held in self.granted.items() if held[0] > now}
         for lane, per_s in self.stated.items():
-            if lane not in self.granted:  # a planner's word is lowered to it as it comes
-                self.allow(lane, Allowance(str(lane), per_s, 1.0, STATED_MS))
+            granted = (
+                self.granted[lane][1] if lane in self.granted else Allowance(str(lane), math.inf, 1.0, 0.0)
+            )
+            if per_s < granted.per_s:
+                self.allow(lane, replace(granted, for_ms=STATED_MS, wait_ms=0.0))
 
     # Actions
 
@@ -594,7 +602,8 @@
             case api.Cancel(number, attempt):
                 held = self.messages.get(number)
                 if held is not None and (result := held.pending) and result.attempt.number == attempt:
-                    held.handed = False
+                    if not held.over:
+                        self.take_back(held)
                     cancelled = replace(result, outcome=Outcome.CANCELLED, over=False, later=False)
                     self.attempt_ended(cancelled)
                 else:
--- a/rushhitch/partners/handshake.py
+++ b/rushhitch/partners/handshake.py
@@ -21,8 +21,8 @@
 
 
 class Handshake:
-    """The gate of a node (`node.Gate`): its destinations get nothing until their endpoints have agreed, and
-    no more than they state."""
+    """The gate of a node (`partners.gate.Gate`): its destinations get nothing until their endpoints have
+    agreed, and no more than they state."""
 
     def __init__(self, node: Node, agreements: Agreements, destinations: Collection[int], path: str) -> None:
         self.node, self.agreements, self.path = node, agreements, path
--- a/tests/test_acknowledgements.py
+++ b/tests/test_acknowledgements.py
@@ -66,6 +66,24 @@
     assert effect(told(verdict), [b"0", b"1"], attempts, out, handed) is Effect.NOTHING
 
 
+def test_while_its_call_is_out_only_the_first_verdict_counts_but_a_delivery_does():
+    for verdict, found in ((Verdict.NOT_RUN, Effect.NOTHING), (Verdict.DELIVERED, Effect.DELIVER)):
+        assert effect(told(verdict), [], 1, 1, handed=False, heard=True) is found
+
+
+def test_two_words_that_nothing_ran_before_the_202_make_one_more_attempt(tmp_path):
+    @with_bank(tmp_path)
+    async def _(bank):
+        bank.post()
+        request = await bank.partner.next()
+        for name in ("a1", "a2"):
+            assert await bank.acknowledge(NEVER, id=name) == (200, "acknowledged")
+        request.answer(202)
+        (await bank.partner.next()).answer(200)
+        await bank.node.idle.wait()
+        assert bank.quiet()
+
+
 def test_for_what_is_over_it_hears_whether_it_says_the_same_until_that_is_forgotten():
     past = Past(2)
     past.add(b"m1", "delivered", 100.0)
--- a/tests/test_partners_handshake.py
+++ b/tests/test_partners_handshake.py
@@ -289,6 +289,13 @@
         assert (high.per_s, high.burst, high.wait_ms, high.slots) == (4.0, 1.0, 50.0, ())
         assert (low.per_s, low.slots) == (2.0, (10.0,)), "and its moments with it"
         assert all(isinstance(note, Allowed) for note in notes)
+        # A rate that is stated while a grant holds: lower it binds at once, higher it lifts nothing.
+        notes.clear()
+        node.state_limits({7: 1.0})
+        assert [note.per_s for note in notes] == [1.0]
+        node.stated.clear()
+        node.state_limits({7: 3.0})
+        assert len(notes) == 1
 
 
 def test_a_stated_rate_is_shared_by_all_dispatchers(tmp_path):
