--- a/lab/bank.py
+++ b/lab/bank.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import itertools
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from lab.history import ACCEPTED
 from lab.http import Request
@@ -40,7 +40,7 @@
             (name.decode("latin-1"), value.decode("latin-1")) for name, value in request.headers.items()
         ]
         _, events = decode(headers, request.body)
-        dispatcher = next(event["dispatcher"] for event in self.calls(call))
+        dispatcher = request.connection.dispatcher
         for name, event in zip(ids, events, strict=True):
             chance = self.partners.chance
             verdict = "not-run" if chance.random() < endpoint.spec.denies else "delivered"
@@ -50,13 +50,6 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    def calls(self, call: int) -> Any:
-        return (
-            event
-            for event in reversed(self.partners.history.events)
-            if event["what"] == "call" and event["call"] == call
-        )
-
     async def tell(
         self,
         endpoint: Endpoint,
--- a/lab/partners.py
+++ b/lab/partners.py
@@ -149,6 +149,7 @@
                 self.history.add("refused", endpoint=endpoint.name, dispatcher=dispatcher)
                 connection.reset()
                 return
+            connection.dispatcher = dispatcher
             endpoint.connections.add(connection)
 
         def handle(request: Request) -> None:
