--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -47,13 +47,18 @@
 RETRY_CALLS = 0.25  # of a usual call: rest before the first further try, doubled with each
 REST_TOP_MS = 2_000.0  # no rest of our own is longer, a wanted time is of that order
 # Limits
-CUT = 0.85  # a refusal above a limit takes the pace to this share of what was sent
+CUT_PER_S = 0.8  # e-folds: refusals above a limit cut the pace by so many a second, however few calls tell
+CUT_LEAST, CUT_MOST = 0.85, 0.2  # of what was sent: what one refusal leaves of the pace
 GROW_PER_S = 0.5  # e-folds: the pace grows by so many each second without a refusal
+GROW_PER_CALL = 0.5  # e-folds: but by no more for each call that would show it to be too high
+KNOWN_SHARE = 0.9  # of the pace that was taken of late: the pace grows back to it fast
 GROW_TOP = 20.0  # e-folds: it grows no further, against numbers out of range
-PACE_FLOOR_PER_S = 0.5  # the pace never falls under this, a limit below would be useless to anyone
+PACE_FLOOR_PER_S = 1.0  # of all dispatchers: the pace never falls under our part, less would be of no use
 BURST_MS = 400.0  # worth of pace that may go at once
 FLOW_MS = 2_000.0  # memory of the pace that was sent
-FLOW_LEAST = 0.2  # of a memory: over a shorter time nothing is called a pace
+GUESS_PER_S = 10.0  # of all dispatchers: the pace of a lane before any is seen
+GUESS_MS = 2_000.0  # the guess weighs as much as so long a time that was seen, and less as more is
+PART_LEAST = 0.1  # of the memory of a part: over a shorter time nothing is called one
 PART_MS = 30_000.0  # memory of the mean pace that a lane took from us, our part of what it can do
 PAUSE_MS = 500.0  # first pause after a refusal that tells no wait, doubled with each in a row
 JITTER = (0.75, 1.25)  # rests of our own are stretched by chance, so that dispatchers do not act in step
@@ -63,7 +68,9 @@
 STRIKE = {Outcome.FULL: 1.0, Outcome.CONNECT_FAILED: 1.0, Outcome.RESET: 0.5}
 BLINK_MS = 1_000.0  # outages last for seconds: what served so shortly before was not in one
 BLINK_TRIAL_MS = 250.0  # after a trip of what was warm the first trial comes so soon: it may be chance
-RETURN_SHARE = 0.6  # of `fall_multiple` times the known pace: what a cold lane gets at most from us
+RETURN_SHARE = 0.9  # of `fall_multiple` times the known pace: what a cold lane gets at most from us
+UNSEEN_MS = 8_000.0  # outages end in mid-span between a failure and a success, where that is no longer
+RETURN_GROW_PER_S = 0.2  # e-folds: that share grows by so many each second in which nothing fails
 TRIAL_GAP_MS = 500.0  # times the dispatchers: the longest wait between calls to a cold endpoint
 # Held messages
 PATIENCE = 0.5  # of the aim: a message's urgency grows e-fold as its slack shrinks by so much
@@ -77,13 +84,16 @@
 class Flow:
     """A decaying count of things per second."""
 
-    def __init__(self, memory_ms: float) -> None:
-        self.memory, self.count, self.at, self.since = memory_ms, 0.0, 0.0, math.inf
+    def __init__(self, memory_ms: float, least: float = 0.0) -> None:
+        self.memory, self.least, self.count, self.at, self.since = memory_ms, least, 0.0, 0.0, math.inf
 
-    def rate(self, now: float) -> float:
-        """Over the time since the first of them, as long as that is shorter than the memory."""
-        seen = 1.0 - math.exp(-max((now - self.since) / self.memory, FLOW_LEAST))
-        return self.count * math.exp((self.at - now) / self.memory) * 1000.0 / (self.memory * seen)
+    def rate(self, now: float, guess: float = 0.0) -> float:
+        """Over the time since the first of them, as long as that is shorter than the memory. A guess guards
+        against a rate that is made of one or two things."""
+        seen = math.exp(-max((now - self.since) / self.memory, self.least))
+        weight = GUESS_MS * seen if guess else 0.0
+        count = self.count * math.exp((self.at - now) / self.memory) + weight * guess / 1000.0
+        return count * 1000.0 / (self.memory * (1.0 - seen) + weight)
 
     def add(self, now: float) -> None:
         self.since = min(self.since, now)
@@ -100,8 +110,9 @@
         self.wait_until = self.next_at = -math.inf
         self.cut_at = 0.0
         self.pace = math.inf
+        self.known = 0.0  # the pace up to which it grows fast again
         self.fulls = 0
-        self.sent, self.taken = Flow(FLOW_MS), Flow(PART_MS)
+        self.sent, self.taken = Flow(FLOW_MS), Flow(PART_MS, PART_LEAST)
         self.allowed_gap = self.allowed_slack = 0.0  # guidance from outside: time between calls, and saved up
         self.allowed_until = self.allowed_next = self.slots_until = -math.inf
         self.slots: deque[tuple[int, float]] = deque()  # moments from outside: number, when
@@ -112,7 +123,12 @@
         """Calls a second that may be sent: cut by refusals, growing by compound with time since. It guards
         against a pace that was cut while a slow or full destination took little and binds long after. Near a
         limit it is much like growth by a line; it hurts where a limit stays low: refusals come sooner."""
-        return self.pace * math.exp(min(GROW_PER_S * (now - self.cut_at) / 1000.0, GROW_TOP))
+        if self.pace == math.inf:
+            return self.pace
+        known = max(self.known, self.pace)
+        left = (now - self.cut_at) / 1000.0 - math.log(known / self.pace) / GROW_PER_S
+        growth = min(GROW_PER_S, GROW_PER_CALL * known) if left > 0.0 else GROW_PER_S
+        return known * math.exp(min(growth * left, GROW_TOP))
 
     def open_at(self, now: float) -> float:
         """When the next call may go, as far as waits and the pace have it."""
@@ -165,16 +181,24 @@
         if told_wait > 0:
             self.wait_until = max(self.wait_until, now + told_wait + WAIT_MARGIN_MS)
 
-    def note_full(self, now: float, sent_at: float, told_wait: float, jitter: float) -> None:
+    def note_full(
+        self, now: float, sent_at: float, told_wait: float, chance: random.Random, dispatchers: int
+    ) -> None:
         """Slow down once for all calls that were out together."""
         if sent_at < self.cut_at:
             return
-        self.pace = max(CUT * min(self.sent.rate(now), self.pace_at(now)), PACE_FLOOR_PER_S)
+        floor = PACE_FLOOR_PER_S / dispatchers
+        rate = max(min(self.sent.rate(now, GUESS_PER_S / dispatchers), self.pace_at(now)), floor)
+        cut = min(max(math.exp(-CUT_PER_S / rate), CUT_MOST), CUT_LEAST)
+        self.known = KNOWN_SHARE * self.part()
+        self.pace = max(cut * rate, floor)
         self.cut_at = now
         self.fulls += 1
         if told_wait <= 0:
-            pause = min(PAUSE_MS * 2.0 ** (self.fulls - 1), REST_TOP_MS) * jitter
+            pause = min(PAUSE_MS * 2.0 ** (self.fulls - 1), REST_TOP_MS) * chance.uniform(*JITTER)
             self.wait_until = max(self.wait_until, now + pause)
+        # All who are told a wait hear the same end of it: each begins at a moment of its own.
+        self.next_at = max(self.next_at, self.wait_until + chance.random() * 1000.0 / self.pace)
 
 
 class Endpoint:
@@ -189,6 +213,7 @@
         self.strikes, self.struck_at = 0, -math.inf
         self.warm, self.warm_at = 1.0, 0.0
         self.tripped, self.opens_at, self.answered_at = False, -math.inf, -math.inf
+        self.failed_at = -math.inf  # the newest failure of any kind
         self.cold = False  # from its trip until it is warm again
         self.served_at, self.blamed = -math.inf, False  # blamed: it failed since by its own doing
 
@@ -594,10 +619,11 @@
             endpoint.served_at, endpoint.blamed = self.now, False
             endpoint.lane.note_taken(self.now, endpoint.cold)
             return
+        endpoint.failed_at = self.now
         shut = told_wait > self.settings.fall_ms
         endpoint.blamed |= shut or outcome in (Outcome.ERROR, Outcome.TIMEOUT)
         if outcome is Outcome.FULL:
-            endpoint.lane.note_full(self.now, sent_at, told_wait, self.random.uniform(*JITTER))
+            endpoint.lane.note_full(self.now, sent_at, told_wait, self.random, self.settings.dispatchers)
         if sent_at >= endpoint.struck_at:
             endpoint.strikes += STRIKE.get(outcome, 2.0)
             endpoint.struck_at = self.now
@@ -626,13 +652,16 @@
         taken = endpoint.lane.taken
         taken.count, taken.at, taken.since = pace * PART_MS / 1000.0, self.now, -math.inf
         endpoint.cold = endpoint.tripped = True
+        endpoint.failed_at = self.now
         endpoint.warm, endpoint.opens_at = self.settings.cold_from, self.now
 
     def recovered(self, endpoint: Endpoint) -> None:
         if endpoint.tripped:
+            # It returned at some time since it was last seen to fail: in the middle, on the mean of all.
+            unseen = min(self.now - endpoint.failed_at, UNSEEN_MS) / 2.0
             endpoint.tripped, endpoint.strikes, endpoint.score = False, 0, max(endpoint.score, PRIOR)
             if endpoint.blamed or self.now - endpoint.served_at > BLINK_MS:
-                endpoint.warm, endpoint.warm_at = self.settings.cold_from, self.now
+                endpoint.warm, endpoint.warm_at = self.settings.cold_from, self.now - unseen
                 endpoint.opens_at = self.now + self.cold_gap(endpoint)
             elif endpoint.warm == 1.0:
                 self.warmed(endpoint)
@@ -659,6 +688,9 @@
         pace = max(lane.part(), lane.told_rate / self.settings.dispatchers)
         shared = sum(1 for other in lane.endpoints if other.state is State.READY) or 1
         pace *= RETURN_SHARE * self.settings.fall_multiple * self.warmth(endpoint) / shared
+        if not endpoint.tripped:  # what it took before was asked of it, not all that it can do
+            quiet = self.now - max(endpoint.warm_at, endpoint.failed_at)
+            pace *= math.exp(RETURN_GROW_PER_S * quiet / 1000.0)
         gap = min(1000.0 / max(pace, 1e-9), TRIAL_GAP_MS * self.settings.dispatchers)
         return max(gap, PAUSE_MS) if endpoint.tripped else gap
 
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,229 @@
+"""Many dispatchers in one thread on virtual time, which share nothing but the destinations that they call.
+
+A small model: it shows the direction of a change, the bench tells its size. Left out are sockets, turns of
+the loop, processor time, the journal, clients that come again and batches that fare differently within a
+call. What is there: limits that all dispatchers use up together, by a bucket or a count in a window, with
+refused calls counted; told waits or none; outages with a cold return, and a destination that is pushed over
+there; limits that fall and rise; kills.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from crowpier import Dispatcher
+from crowpier import interface as api
+from crowpier.interface import Effect, Entry, Outcome, Settings
+
+SAFE, UNSAFE = range(2)
+CLASSES = (
+    api.MessageClass("notice", 1500, 6000, 1.0, 0.1, Effect.SAFE),
+    api.MessageClass("payment", 2000, 12000, 2.0, 0.5, Effect.UNSAFE),
+)
+KINDS = (api.Kind("plain"), api.Kind("route", apart=True, batch=20))
+SERVICE_MS = 60.0  # a call that is taken, without what it waits
+REFUSAL_MS = 30.0
+CONNECT_FAILS_MS = 30.0
+COLD_FROM, WARM_MS, FALL, FALL_MS = 0.18, 13_000.0, 2.0, 2_000.0
+
+
+@dataclass(slots=True)
+class Target:
+    """One endpoint. `limit` in calls a second binds all dispatchers together, `capacity` what it can do."""
+
+    name: str
+    destination: int
+    limit: float = math.inf
+    capacity: float = math.inf
+    window_ms: float = 0.0  # a count in each span of this; else a bucket of `depth_s`
+    depth_s: float = 0.6
+    tells: float = 0.6  # this share of refusals tells a wait
+    kind: int = 0
+    down: tuple[float, float] = (math.inf, math.inf)
+    lowered: tuple[float, float, float] = (math.inf, math.inf, 1.0)  # from, to, and the share of the limit
+    tokens: float = 0.0
+    filled_at: float = 0.0
+    counts: dict[int, int] = field(default_factory=dict)
+    free_at: float = 0.0
+    fallen_at: float = math.inf
+    recent: deque[float] = field(default_factory=deque)  # calls of the last `FALL_MS`, while it is cold
+    calls: list[tuple[float, int, str]] = field(default_factory=list)  # when, whose, what came of it
+
+    def limit_at(self, now: float) -> float:
+        start, end, share = self.lowered
+        return self.limit * (share if start <= now < end else 1.0)
+
+    def warmth(self, now: float) -> float:
+        since = now - self.down[1]
+        return 1.0 if since < 0.0 else min(COLD_FROM + (1.0 - COLD_FROM) * since / WARM_MS, 1.0)
+
+    def refuses(self, now: float) -> bool:
+        """The limit; a call that is refused uses it up like another."""
+        limit = self.limit_at(now)
+        if limit == math.inf:
+            return False
+        if self.window_ms:
+            span = int(now // self.window_ms)
+            self.counts[span] = self.counts.get(span, 0) + 1
+            return self.counts[span] > limit * self.window_ms / 1000.0
+        most = limit * self.depth_s
+        self.tokens = min(self.tokens + (now - self.filled_at) * limit / 1000.0, most)
+        self.filled_at = now
+        self.tokens -= 1.0
+        refused = self.tokens < 0.0
+        self.tokens = max(self.tokens, -most)
+        return refused
+
+    def wait_ms(self, now: float, chance: random.Random) -> float:
+        if chance.random() >= self.tells:
+            return 0.0
+        if self.window_ms:
+            return self.window_ms - now % self.window_ms
+        return max((1.0 - self.tokens) * 1000.0 / self.limit_at(now), 400.0)
+
+    def answer(self, now: float, whose: int, chance: random.Random) -> tuple[Outcome, float, float]:
+        """What comes of a call that comes in now: outcome, how long it takes, and a told wait."""
+        outcome, took, wait = self.fate(now, chance)
+        self.calls.append((now, whose, outcome.name))
+        return outcome, took, wait
+
+    def fate(self, now: float, chance: random.Random) -> tuple[Outcome, float, float]:
+        if self.down[0] <= now < self.down[1] or now >= self.fallen_at:
+            return Outcome.CONNECT_FAILED, CONNECT_FAILS_MS, 0.0
+        if self.refuses(now):
+            return Outcome.FULL, REFUSAL_MS, self.wait_ms(now, chance)
+        if self.capacity == math.inf:
+            return Outcome.OK, SERVICE_MS, 0.0
+        able = self.capacity * self.warmth(now)
+        if self.warmth(now) < 1.0:
+            self.recent.append(now)
+            while self.recent[0] < now - FALL_MS:
+                self.recent.popleft()
+            if len(self.recent) > FALL * able * FALL_MS / 1000.0:
+                self.fallen_at = now
+        begins = max(self.free_at, now)
+        if begins - now > 1000.0:
+            return Outcome.FULL, REFUSAL_MS, 0.0
+        self.free_at = begins + 1000.0 / able
+        return Outcome.OK, self.free_at - now + SERVICE_MS, 0.0
+
+    def count(self, outcome: str, start: float = 0.0, end: float = math.inf) -> int:
+        return sum(1 for at, _, came in self.calls if came == outcome and start <= at < end)
+
+    def offered(self, start: float = 0.0, end: float = math.inf) -> int:
+        return sum(1 for at, _, _ in self.calls if start <= at < end)
+
+
+class Fleet:
+    """`size` dispatchers and the targets, played to an end by `run`. A failing run names its seed."""
+
+    def __init__(self, size: int, targets: list[Target], seed: int, **changes) -> None:
+        self.seed, self.chance, self.targets = seed, random.Random(seed), targets
+        told = {
+            "classes": CLASSES,
+            "kinds": KINDS,
+            "zones": ("east",),
+            "slots": 5,
+            "max_held": 184,
+            "dispatchers": size,
+            "worth_halves": True,
+            "max_retry_after_ms": 3000.0,
+            "cold_from": COLD_FROM,
+            "warm_within_ms": WARM_MS,
+        }
+        self.settings = Settings(**(told | changes))
+        self.names = {target.name: target for target in targets}
+        self.now = 0.0
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.order, self.numbers = itertools.count(), itertools.count(1)
+        self.dispatchers: dict[int, Dispatcher] = {}
+        self.attempts: dict[int, int] = {}
+        self.taken: dict[int, tuple[float, int, int]] = {}  # by message: when, its class, its destination
+        self.ends: dict[int, tuple[float, str]] = {}
+        for index in range(size):
+            self.start(index)
+
+    def start(self, index: int, remembered: tuple[api.Event, ...] = ()) -> None:
+        self.dispatchers[index] = Dispatcher(self.settings, self.chance.randrange(1 << 30))
+        entries = tuple(Entry(t.name, t.destination, kind=t.kind) for t in self.targets)
+        self.feed(index, api.Listed(api.ListKind.FULL, 1, entries), *remembered)
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        heapq.heappush(self.queue, (when, next(self.order), what))
+
+    def feed(self, index: int, *events: api.Event) -> None:
+        dispatcher = self.dispatchers[index]
+        sends: dict[str, list[int]] = {}
+        for action in dispatcher.handle(self.now, list(events)):
+            match action:
+                case api.Send(number, endpoint):
+                    sends.setdefault(endpoint, []).append(number)
+                case api.Remind(in_ms):
+                    self.later(index, in_ms, api.Reminded(0))
+                case api.Refuse(number):
+                    self.ends.setdefault(number, (self.now, "refused"))
+                case api.Fail(number):
+                    self.ends.setdefault(number, (self.now, "failed"))
+        for endpoint, numbers in sends.items():
+            size = self.settings.kinds[self.names[endpoint].kind].batch
+            for begin in range(0, len(numbers), size):
+                self.call(index, endpoint, numbers[begin : begin + size])
+
+    def call(self, index: int, endpoint: str, numbers: list[int]) -> None:
+        outcome, took, wait = self.names[endpoint].answer(self.now, index, self.chance)
+        ends = []
+        for number in numbers:
+            attempt = self.attempts.get(number, 0)
+            self.attempts[number] = attempt + 1
+            over = outcome is Outcome.OK
+            if over:
+                self.ends.setdefault(number, (self.now + took, "served"))
+            ends.append(api.AttemptEnded(number, attempt, endpoint, outcome, took, over, wait))
+        self.later(index, took, *ends)
+
+    def later(self, index: int, in_ms: float, *events: api.Event) -> None:
+        dispatcher = self.dispatchers[index]  # what is meant for one that was killed is gone with it
+
+        def come() -> None:
+            if self.dispatchers.get(index) is dispatcher:
+                self.feed(index, *events)
+
+        self.at(self.now + in_ms, come)
+
+    def arrive(self, destination: int, index: int | None = None) -> None:
+        number, cls = next(self.numbers), SAFE if self.chance.random() < 0.63 else UNSAFE
+        index = self.chance.choice(list(self.dispatchers)) if index is None else index
+        self.taken[number] = (self.now, cls, destination)
+        self.feed(index, api.Arrived(number, cls, destination, CLASSES[cls].deadline_ms))
+
+    def traffic(self, destination: int, per_s: float, start: float, end: float) -> None:
+        """Messages at random moments, dealt to dispatchers by chance."""
+        at = start
+        while (at := at + self.chance.expovariate(per_s / 1000.0)) < end:
+            self.at(at, lambda: self.arrive(destination))
+
+    def run(self, end: float) -> None:
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, what = heapq.heappop(self.queue)
+            what()
+        self.now = end
+
+    def worth(self, destination: int, start: float = 0.0, end: float = math.inf) -> float:
+        """Of what came in that span: the worth that was earned over the worth asked for."""
+        earned = asked = 0.0
+        for number, (at, cls, where) in self.taken.items():
+            if where != destination or not start <= at < end:
+                continue
+            told = CLASSES[cls]
+            asked += told.worth
+            ended_at, how = self.ends.get(number, (math.inf, "open"))
+            if how == "served":
+                late = max(ended_at - at - told.aim_ms, 0.0) / told.aim_ms
+                earned += told.worth * max(0.5**late, told.late_worth)
+        return earned / asked if asked else 1.0
