--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -50,10 +50,10 @@
 CUT_PER_S = 0.8  # e-folds: refusals above a limit cut the pace by so many a second, however few calls tell
 CUT_LEAST, CUT_MOST = 0.85, 0.2  # of what was sent: what one refusal leaves of the pace
 GROW_PER_S = 0.5  # e-folds: the pace grows by so many each second without a refusal
-GROW_PER_CALL = 0.5  # e-folds: but by no more for each call that would show it to be too high
+GROW_PER_CALL = 0.7  # e-folds: but by no more for each call that would show it to be too high
 KNOWN_SHARE = 0.9  # of the pace that was taken of late: the pace grows back to it fast
 GROW_TOP = 20.0  # e-folds: it grows no further, against numbers out of range
-PACE_FLOOR_PER_S = 1.0  # of all dispatchers: the pace never falls under our part, less would be of no use
+PACE_FLOOR_PER_S = 1.5  # of all dispatchers: the pace never falls under our part, less would be of no use
 BURST_MS = 400.0  # worth of pace that may go at once
 FLOW_MS = 2_000.0  # memory of the pace that was sent
 GUESS_PER_S = 10.0  # of all dispatchers: the pace of a lane before any is seen
@@ -198,7 +198,8 @@
             pause = min(PAUSE_MS * 2.0 ** (self.fulls - 1), REST_TOP_MS) * chance.uniform(*JITTER)
             self.wait_until = max(self.wait_until, now + pause)
         # All who are told a wait hear the same end of it: each begins at a moment of its own.
-        self.next_at = max(self.next_at, self.wait_until + chance.random() * 1000.0 / self.pace)
+        spread = 1000.0 * min(1.0 / self.pace, dispatchers / GUESS_PER_S)
+        self.next_at = max(self.next_at, self.wait_until + chance.random() * spread)
 
 
 class Endpoint:
--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -166,6 +166,7 @@
         configuration.known["version"],
         node.listed,
         random.Random(configuration.seed),
+        dispatchers=configuration.settings.dispatchers,
     )
     platform = Platform(watch, notices)
     platform.start()
--- a/rushhitch/discovery.py
+++ b/rushhitch/discovery.py
@@ -18,6 +18,8 @@
 SILENCE_S = 5.0  # a watch says something every 2 s: after so long it is dead
 CONNECT_S, ANSWER_S = 1.0, 3.0
 BACKOFF_S, BACKOFF_TOP_S = 0.2, 2.0  # between two watches: doubled each time, and stretched by chance
+SHARE_S = 0.1  # for each other dispatcher: the least rest between two watches, and the spread of the first
+LONGEST_S = 4.5  # but no rest is longer: one who does not ask for 10 s counts as told of everything
 NOTICE_S, NOTICE_TOP_S = 0.15, 2.0  # notices are answered at once: after so long they are sent again on
 NOTICE_IDLE_S = 1.0  # a connection that idled longer may have been dropped unseen: an end would come late
 NOTICE_REST_S = 0.05  # another connection, with more patience each time
@@ -26,6 +28,27 @@
 BROKEN = (OSError, TimeoutError, h11.ProtocolError, ValueError)
 
 
+class Asks:
+    """When to ask for a watch. Discovery is one service for all dispatchers and works through their calls in
+    turn: where all ask at once, as after an outage of its own or a release, each call waits too long and all
+    fail again. So rests grow with the number of dispatchers, and the first ask waits too: a list is known."""
+
+    def __init__(self, chance: random.Random, dispatchers: int = 1) -> None:
+        self.chance, self.share_s, self.failures = chance, SHARE_S * (dispatchers - 1), 0
+
+    def first(self) -> float:
+        """Seconds until the first."""
+        return self.chance.random() * min(self.share_s, LONGEST_S)
+
+    def rest(self) -> float:
+        """Seconds until the next one after one that ended or failed."""
+        least = max(BACKOFF_S, min(self.share_s, LONGEST_S / 2.0))
+        top = max(BACKOFF_TOP_S, min(2.0 * self.share_s, LONGEST_S))
+        rest = min(least * 2.0 ** min(self.failures, 16), top)
+        self.failures += 1
+        return rest * self.chance.uniform(0.5, 1.5)
+
+
 class Watch:
     """Keeps a watch open from the version known; hands each line of it to `told`."""
 
@@ -36,16 +59,17 @@
         told: Callable[[dict[str, Any]], None],
         chance: random.Random,
         silence_s: float = SILENCE_S,
+        dispatchers: int = 1,
     ) -> None:
         self.address, self.version, self.told = address, version, told
-        self.chance, self.silence_s = chance, silence_s
-        self.failures = 0
+        self.silence_s, self.asks = silence_s, Asks(chance, dispatchers)
 
     def move(self, address: tuple[str, int]) -> None:
         """The next `run` opens its watch there at once, from the version known."""
-        self.address, self.failures = address, 0
+        self.address, self.asks.failures = address, 0
 
     async def run(self) -> None:
+        await asyncio.sleep(self.asks.first())
         while True:
             try:
                 await self.watch()
@@ -53,9 +77,7 @@
                 log.info("watch ended: %r", error)
             except Exception:
                 log.exception("watch failed")
-            rest = min(BACKOFF_S * 2.0 ** min(self.failures, 16), BACKOFF_TOP_S)
-            self.failures += 1
-            await asyncio.sleep(rest * self.chance.uniform(0.5, 1.5))
+            await asyncio.sleep(self.asks.rest())
 
     async def watch(self) -> None:
         """One watch, until it breaks or falls silent."""
@@ -77,7 +99,7 @@
                 if len(rest) > MOST_LINE:
                     raise ValueError(f"a line of more than {MOST_LINE} bytes")
                 for line in lines:
-                    self.failures = 0
+                    self.asks.failures = 0
                     if line.strip():
                         self.read(line)
         finally:
