Lanes whose calls gather messages grow no further than a call a quarter of the aim

Calls carried 4 or 5 of 20 messages: the pace of forty dispatchers grew though nobody needed more calls.

At fault: Lane.pace_at grew without need. Once refused, such a lane grows up to a call for each quarter of the shortest aim and destination, shared among its routes.

--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -54,6 +54,7 @@
 KNOWN_SHARE = 0.9  # of the pace that was taken of late: the pace grows back to it fast
 GROW_TOP = 20.0  # e-folds: it grows no further, against numbers out of range
 PACE_FLOOR_PER_S = 1.5  # of all dispatchers: the pace never falls under our part, less would be of no use
+GATHER = 0.25  # of the shortest aim: where calls take several messages, none is needed sooner once refused
 BURST_MS = 400.0  # worth of pace that may go at once
 FLOW_MS = 2_000.0  # memory of the pace that was sent
 GUESS_PER_S = 10.0  # of all dispatchers: the pace of a lane before any is seen
@@ -111,6 +112,7 @@
         self.cut_at = 0.0
         self.pace = math.inf
         self.known = 0.0  # the pace up to which it grows fast again
+        self.enough = math.inf  # once refused, no higher pace is of use
         self.fulls = 0
         self.sent, self.taken = Flow(FLOW_MS), Flow(PART_MS, PART_LEAST)
         self.allowed_gap = self.allowed_slack = 0.0  # guidance from outside: time between calls, and saved up
@@ -128,7 +130,7 @@
         known = max(self.known, self.pace)
         left = (now - self.cut_at) / 1000.0 - math.log(known / self.pace) / GROW_PER_S
         growth = min(GROW_PER_S, GROW_PER_CALL * known) if left > 0.0 else GROW_PER_S
-        return known * math.exp(min(growth * left, GROW_TOP))
+        return min(known * math.exp(min(growth * left, GROW_TOP)), self.enough)
 
     def open_at(self, now: float) -> float:
         """When the next call may go, as far as waits and the pace have it."""
@@ -413,6 +415,11 @@
             lane.endpoints.append(endpoint)
             destination.endpoints.append(endpoint)
         endpoint.state = entry.state
+        if kind.batch > 1:
+            gap = GATHER * min(cls.aim_ms for cls in self.settings.classes)
+            lanes = {e.lane for e in endpoint.destination.endpoints}
+            for lane in lanes:
+                lane.enough = 1000.0 / (gap * len(lanes))
         if self.settings.told_rates and entry.rate_per_s > 0:
             lane = endpoint.lane
             if lane.told_rate == 0.0:  # the pace starts there; refusals and time then move it
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,6 +22,17 @@
     assert fleet.worth(1) > 0.8, f"seed {seed}"
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_calls_that_take_several_messages_gather_them_once_refused(seed):
+    targets = [Target(name, 1, limit=20.0, kind=1) for name in "abc"]
+    fleet = Fleet(40, targets, seed)
+    fleet.traffic(1, 150.0, 0.0, 20_000.0)
+    fleet.run(28_000.0)
+    calls = sum(target.offered(4_000.0) for target in targets)
+    refused = sum(target.count("FULL", 4_000.0) for target in targets)
+    assert refused < 0.33 * calls and fleet.worth(1, 4_000.0) > 0.9, f"seed {seed}"
+
+
 @pytest.mark.parametrize("window_ms", (0.0, 2_000.0))
 def test_a_burst_over_the_limit_is_over_soon(window_ms):
     earned, refused = [], []
