--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -419,7 +419,7 @@
             gap = GATHER * min(cls.aim_ms for cls in self.settings.classes)
             lanes = {e.lane for e in endpoint.destination.endpoints}
             for lane in lanes:
-                lane.enough = 1000.0 / (gap * len(lanes))
+                lane.enough = max(1000.0 / (gap * len(lanes)), GUESS_PER_S / self.settings.dispatchers)
         if self.settings.told_rates and entry.rate_per_s > 0:
             lane = endpoint.lane
             if lane.told_rate == 0.0:  # the pace starts there; refusals and time then move it
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -33,6 +33,18 @@
     assert refused < 0.33 * calls and fleet.worth(1, 4_000.0) > 0.9, f"seed {seed}"
 
 
+@pytest.mark.parametrize("size, least, most", ((3, 9.0, 11.0), (40, 30.0, 40.0)))
+def test_few_dispatchers_do_not_hold_messages_to_gather_them(size, least, most):
+    # Guards against lanes of three that are held to a call a quarter of the aim: ten a second is no crowd.
+    targets = [Target(name, 1, limit=4.0 * size, kind=1) for name in "abc"]
+    fleet = Fleet(size, targets, 1)
+    fleet.traffic(1, 50.0 * size, 0.0, 20_000.0)
+    fleet.run(20_000.0)
+    lanes = [lane for dispatcher in fleet.dispatchers.values() for lane in dispatcher.lanes.values()]
+    cut = [lane.pace_at(60_000.0) for lane in lanes if lane.fulls or lane.cut_at]
+    assert cut and least < sum(cut) / len(cut) * size < most, cut
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_forty_killed_within_a_second_end_each_message_once_and_press_no_limit_for_long(seed):
     target, down = Target("a", 1, limit=60.0), Target("b", 2, down=(9_000.0, 11_000.0))
