--- a/rushhitch/cli.py
+++ b/rushhitch/cli.py
@@ -37,7 +37,9 @@
 
 
 def forward() -> int:
-    from rushhitch.__main__ import BadConfiguration, read_configuration, run, serve
+    from rushhitch.__main__ import run
+    from rushhitch.config.platform import BadConfiguration, read_configuration
+    from rushhitch.service import serve
 
     def work() -> Coroutine[Any, Any, None]:
         configuration = read_configuration(os.environ)
