Control address with figures, maintenance of endpoints, and new settings at SIGHUP

Change: rushhitch/control (words without I/O, a thin server, bans in a file replaced as a whole), rushhitch/figures.py, events Detached, Attached and Reconfigured in the module, rushhitch/config/history.py: each message keeps the class and attempts that it was taken under. The module's `ready` is asked wherever it chooses; the sockets' door has the ban too.

--- a/crowpier/interface.py
+++ b/crowpier/interface.py
@@ -64,6 +64,8 @@
 def _check(value: object, key: str, low: float, high: float = math.inf) -> None:
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not low <= value <= high:
         raise ValueError(f"settings: {key} must be a number from {low:g} to {high:g}, not {value!r}")
+    if math.isinf(value):
+        raise ValueError(f"settings: {key} must be finite, not {value!r}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +148,9 @@
     def __post_init__(self) -> None:
         if not self.classes or not self.kinds or not self.zones:
             raise ValueError("settings: classes, kinds and zones must each name at least one")
+        names = [cls.name for cls in self.classes]
+        if twice := {name for name in names if names.count(name) > 1}:
+            raise ValueError(f"settings: class {min(twice)} is there twice: give each a name of its own")
         if self.zone_fees and len(self.zone_fees) != len(self.zones):
             raise ValueError("settings: zone_fees must have one figure for each of zones, or none")
         for key in ("slots", "max_held", "dispatchers", "max_attempts"):
@@ -192,12 +197,21 @@
     entries: tuple[Entry, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What a message was taken under."""
+
+    cls: MessageClass
+    max_attempts: int
+
+
 @dataclass(frozen=True, slots=True)
 class Arrived:
     """A message was taken; it must end exactly once, within `left_ms`.
 
     One that an earlier process took comes with the `attempts` it has had, all of which are over. If one may
-    have run, `ran_ago_ms` and `ran_endpoint` tell when and where the first such went.
+    have run, `ran_ago_ms` and `ran_endpoint` tell when and where the first such went. `terms` are there where
+    it was taken under others than the settings' of now: they hold for it to its end.
     """
 
     message: int
@@ -210,6 +224,7 @@
     attempts: int = 0
     ran_ago_ms: float | None = None
     ran_endpoint: str = ""
+    terms: Terms | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +235,29 @@
     pace_per_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Detached:
+    """Operators take the endpoint out: nothing new goes there until `Attached`, whatever the list says, also
+    where it is not listed now."""
+
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class Attached:
+    """The endpoint may serve again. It was restarted meanwhile: it is cold, by no fault of its own."""
+
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class Reconfigured:
+    """Other settings hold for what arrives from now on. Messages keep the class and the number of attempts
+    that they were taken under; what was learned of endpoints stays."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Leaving:
     """The process will end `in_ms` from now: what is out by then has no known outcome."""
@@ -316,6 +354,9 @@
     | Remembered
     | Leaving
     | Allowed
+    | Detached
+    | Attached
+    | Reconfigured
 )
 
 
--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -219,6 +219,11 @@
         self.failed_at = -math.inf  # the newest failure of any kind
         self.cold = False  # from its trip until it is warm again
         self.served_at, self.blamed = -math.inf, False  # blamed: it failed since by its own doing
+        self.detached = False  # by operators
+
+    @property
+    def ready(self) -> bool:
+        return self.state is State.READY and not self.detached
 
     def score_at(self, now: float) -> float:
         return PRIOR + (self.score - PRIOR) * math.exp((self.scored_at - now) / SCORE_AGE_MS)
@@ -235,17 +240,16 @@
     def __init__(self, number: int, endpoint: Endpoint, message: Message, now: float, usual: float) -> None:
         self.number, self.endpoint, self.sent_at = number, endpoint, now
         self.destination = message.destination
-        self.usual, self.cls, self.left, self.judged = usual, message.number, 0, False
+        self.usual, self.cls, self.left, self.judged = usual, message.cls.name, 0, False
         self.idle_ms = now - endpoint.idle.pop() if endpoint.idle else 0.0  # of its connection, before it
 
 
 class Message:
     """A message that was taken and is not over, or still has attempts out."""
 
-    def __init__(
-        self, event: api.Arrived, cls: api.MessageClass, destination: Destination, now: float
-    ) -> None:
-        self.id, self.cls, self.number, self.destination = event.message, cls, event.cls, destination
+    def __init__(self, event: api.Arrived, terms: api.Terms, destination: Destination, now: float) -> None:
+        cls = terms.cls
+        self.id, self.cls, self.destination, self.most = event.message, cls, destination, terms.max_attempts
         self.key = event.key if cls.in_order else 0
         self.worth = cls.worth
         self.deadline = now + event.left_ms
@@ -308,8 +312,11 @@
         self.messages: dict[int, Message] = {}
         self.turns: dict[int, Turn] = {}
         self.quotas = [-math.inf] * len(settings.tenants)
+        self.detached: set[str] = set()  # endpoints taken out by operators, listed or not
+        self.returns: set[str] = set()  # those given back while not listed
         self.ends: list[tuple[float, int]] = []
-        self.usual = [FIRST_USUAL * cls.aim_ms for cls in settings.classes]
+        self.usual: dict[str, float] = {}  # by class: its calls' usual time
+        self.learn_classes(settings.classes)
         self.used = self.calls_made = 0
         self.slow: set[Endpoint] = set()  # as of the latest dispatch
         self.wakes_at = self.leaves_at = math.inf
@@ -354,6 +361,62 @@
             self.leaves_at = self.now + event.in_ms
         elif isinstance(event, api.Allowed) and event.lane in self.lanes:
             self.lanes[event.lane].allow(self.now, event)
+        elif isinstance(event, api.Detached):
+            self.detach(event.endpoint)
+        elif isinstance(event, api.Attached):
+            self.attach(event.endpoint)
+        elif isinstance(event, api.Reconfigured):
+            self.reconfigured(event.settings)
+
+    # New settings
+
+    def learn_classes(self, classes: tuple[api.MessageClass, ...]) -> None:
+        for cls in classes:
+            self.usual.setdefault(cls.name, FIRST_USUAL * cls.aim_ms)
+
+    def reconfigured(self, settings: Settings) -> None:
+        """Messages hold the terms that they were taken under; a class that is gone goes with the last."""
+        self.settings = settings
+        held = {message.cls.name for message in self.messages.values()}
+        names = held | {cls.name for cls in settings.classes}
+        self.usual = {name: usual for name, usual in self.usual.items() if name in names}
+        self.learn_classes(settings.classes)
+        self.quotas = (self.quotas + [-math.inf] * len(settings.tenants))[: len(settings.tenants)]
+        for destination in self.destinations.values():
+            self.share_need(destination)
+
+    # Maintenance: operators take endpoints out and give them back. Guards against work for what is being
+    # restarted; its return is that from an outage, since it starts cold, but nothing speaks against it.
+
+    def detach(self, name: str) -> None:
+        self.detached.add(name)
+        self.returns.discard(name)
+        if endpoint := self.endpoints.get(name):
+            endpoint.detached = True
+            endpoint.idle.clear()
+            self.actions.append(api.HangUp(name))
+
+    def attach(self, name: str) -> None:
+        if name not in self.detached:
+            return
+        self.detached.discard(name)
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            self.returns.add(name)
+            return
+        endpoint.detached = False
+        self.restarted(endpoint)
+
+    def restarted(self, endpoint: Endpoint) -> None:
+        endpoint.strikes, endpoint.score, endpoint.served_at = 0, max(endpoint.score, PRIOR), -math.inf
+        pace = endpoint.lane.part()
+        self.remembered(endpoint, pace)
+        self.actions.append(api.Remember(endpoint.name, True, pace))
+
+    def avoided(self) -> int:
+        """How many listed endpoints get no ordinary calls now, by operators' word or by the breaker."""
+        listed = (e for e in self.endpoints.values() if e.state is not State.GONE)
+        return sum(1 for endpoint in listed if endpoint.detached or endpoint.tripped)
 
     # The list
 
@@ -423,6 +486,10 @@
             lane.endpoints.append(endpoint)
             destination.endpoints.append(endpoint)
             self.share_need(destination)
+            endpoint.detached = entry.endpoint in self.detached
+            if entry.endpoint in self.returns:
+                self.returns.discard(entry.endpoint)
+                self.restarted(endpoint)
         endpoint.state = entry.state
         if self.settings.told_rates and entry.rate_per_s > 0:
             lane = endpoint.lane
@@ -433,11 +500,15 @@
     # Messages
 
     def arrived(self, event: api.Arrived) -> None:
-        if event.cls >= len(self.settings.classes):
-            self.actions.append(api.Refuse(event.message))
-            raise ValueError(f"message {event.message}: class {event.cls} is not one of the settings'")
-        cls, destination = self.settings.classes[event.cls], self.destinations[event.destination]
-        message = Message(event, cls, destination, self.now)
+        terms = event.terms
+        if terms is None:
+            if event.cls >= len(self.settings.classes):
+                self.actions.append(api.Refuse(event.message))
+                raise ValueError(f"message {event.message}: class {event.cls} is not one of the settings'")
+            terms = api.Terms(self.settings.classes[event.cls], self.settings.max_attempts)
+        self.learn_classes((terms.cls,))
+        destination = self.destinations[event.destination]
+        message = Message(event, terms, destination, self.now)
         if self.over_share(event.tenant):
             message.worth *= self.settings.over_share_worth
         self.messages[event.message] = message
@@ -490,7 +561,7 @@
         return latest
 
     def usual_call(self, message: Message) -> float:
-        return self.usual[message.number] * max(message.destination.stretch, 1.0)
+        return self.usual[message.cls.name] * max(message.destination.stretch, 1.0)
 
     def end_late(self) -> None:
         while self.ends and self.ends[0][0] <= self.now:
@@ -512,7 +583,7 @@
 
     def stay_away(self, message: Message) -> float:
         """When to come back: not before an endpoint may open, as far as that can be told."""
-        ready = [e for e in message.destination.endpoints if e.state is State.READY]
+        ready = [e for e in message.destination.endpoints if e.ready]
         opens = min((self.open_at(message, e) for e in ready), default=math.inf) - self.now
         return max(PAUSE_MS, min(opens, REST_TOP_MS, self.settings.max_retry_after_ms))
 
@@ -613,6 +684,8 @@
     def time_call(self, call: Call, took: float) -> None:
         if call.idle_ms >= self.proven or self.now - self.proven_at > FLOW_MS:
             self.proven, self.proven_at = call.idle_ms, self.now
+        if call.cls not in self.usual:  # its class was dropped, and its last message withdrawn
+            return
         ratio = took / self.usual[call.cls]
         destination = call.destination
         destination.stretch += STRETCH_GAIN * (ratio - destination.stretch)
@@ -698,7 +771,7 @@
         """Time between calls to an endpoint that is cold: our part of what it can do, as told or observed."""
         lane = endpoint.lane
         pace = max(lane.part(), lane.told_rate / self.settings.dispatchers)
-        shared = sum(1 for other in lane.endpoints if other.state is State.READY) or 1
+        shared = sum(1 for other in lane.endpoints if other.ready) or 1
         pace *= RETURN_SHARE * self.settings.fall_multiple * self.warmth(endpoint) / shared
         if not endpoint.tripped:  # what it took before was asked of it, not all that it can do
             quiet = self.now - max(endpoint.warm_at, endpoint.failed_at)
@@ -725,7 +798,7 @@
         self.hold(message)
 
     def may_resend(self, message: Message) -> bool:
-        if len(message.attempts) >= self.settings.max_attempts or self.now >= self.latest_start(message):
+        if len(message.attempts) >= message.most or self.now >= self.latest_start(message):
             return False
         return message.ran_at == math.inf or message.cls.effect is not Effect.UNSAFE
 
@@ -733,7 +806,7 @@
         """The rules on drains and on repeats."""
         keyed = message.cls.effect is Effect.KEYED and message.cls.group is not api.Group.ALL
         bound = keyed and message.ran_at < math.inf
-        return endpoint.state is State.READY and (not bound or endpoint.zone == message.ran_zone)
+        return endpoint.ready and (not bound or endpoint.zone == message.ran_zone)
 
     def rank(self, endpoint: Endpoint) -> float:
         """The score, less what tells near equals apart: calls already out, the fee, a new connection."""
@@ -752,9 +825,7 @@
 
     def plan(self, message: Message) -> list[list[Endpoint]]:
         """Algorithm 1 over the endpoints after the first; what is left at the end makes a last plan."""
-        rest = self.ranked(
-            [e for e in message.destination.endpoints if e is not message.first and e.state is State.READY]
-        )
+        rest = self.ranked([e for e in message.destination.endpoints if e is not message.first and e.ready])
         plans, members, missing, least = [], [], 1.0, 1
         for endpoint in rest:
             members.append(endpoint)
@@ -814,7 +885,7 @@
 
     def cap(self, destination: Destination) -> int:
         """The bulkhead: slots that one destination may hold."""
-        ready = [e for e in destination.endpoints if e.state is State.READY]
+        ready = [e for e in destination.endpoints if e.ready]
         sick = any(e in self.slow or e.score_at(self.now) < PRIOR for e in ready)
         return max(int(self.settings.slots * (SICK_SHARE if sick else DEST_SHARE)), 1)
 
@@ -889,7 +960,7 @@
         """What a call saves for the time that it holds its slot: urgency, of all that it takes along. It
         guards against slots that are full of calls to what is slow; there messages wait longer."""
         batch = 1 if targets[0].tripped or len(targets) > 1 else self.settings.kinds[targets[0].kind].batch
-        lasts = self.usual[message.number] * max(message.destination.stretch, LEAST_STRETCH)
+        lasts = self.usual[message.cls.name] * max(message.destination.stretch, LEAST_STRETCH)
         return self.urgency(message) * min(batch, waiting) / lasts
 
     def dispatch(self) -> None:
@@ -909,7 +980,7 @@
     def send(self, message: Message, targets: list[Endpoint]) -> None:
         destination = message.destination
         room = min(self.settings.slots - self.used, self.cap(destination) - len(destination.calls))
-        room = min(room, self.settings.max_attempts - len(message.attempts))
+        room = min(room, message.most - len(message.attempts))
         targets = targets[: max(room, 1)]
         if message.first is None:
             message.first = targets[0]
@@ -981,7 +1052,7 @@
 
     def next_chance(self, destination: Destination) -> float:
         message = next(iter(destination.held.values()))
-        ready = [e for e in destination.endpoints if e.state is State.READY]
+        ready = [e for e in destination.endpoints if e.ready]
         opens = min((self.open_at(message, e) for e in ready), default=math.inf)
         rests = math.inf
         for held in destination.held.values():
--- a/rushhitch/config/platform.py
+++ b/rushhitch/config/platform.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """What the dispatcher is told at its start."""
+    """What the dispatcher is told at its start; `told` is the file as it stands."""
 
     name: str
     listen: tuple[str, int]
@@ -33,6 +33,8 @@
     known: dict[str, Any]
     settings: Settings
     own: Own
+    control: tuple[str, int] | None = None
+    told: dict[str, Any] = field(default_factory=dict)
 
 
 def read_configuration(environ: Mapping[str, str]) -> Configuration:
@@ -46,6 +48,11 @@
         told = json.loads(Path(path).read_bytes())
     except (OSError, ValueError) as error:
         raise BadConfiguration(f"ROUTER_CONFIG: {path}: {error}") from None
+    return configuration_of(told, environ, path)
+
+
+def configuration_of(told: Any, environ: Mapping[str, str], path: str) -> Configuration:
+    """What the file's content says, beside the variables."""
     if not isinstance(told, dict):
         raise BadConfiguration(f"ROUTER_CONFIG: {path}: not an object")
     try:
@@ -86,6 +93,10 @@
         get(known_list, "known"),
         get(lambda told: settings_of(json.dumps(told).encode()), "settings"),
         own,
+        get(parse_address, "control", variable="ROUTER_CONTROL")
+        if told.get("control") or environ.get("ROUTER_CONTROL")
+        else None,
+        told,
     )
 
 
--- /dev/null
+++ b/rushhitch/control/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' address: one line to a connection, one answer."""
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -97,6 +97,8 @@
         self.busy: Counter[str] = Counter()  # calls and probes out, by endpoint
         self.calls: dict[tuple[int, int], Call] = {}
         self.waits: dict[object, float] = {}
+        self.banned: set[str] = set()  # by operators, listed or not
+        self.written = 0  # messages whose call's last byte has gone out
         self.tasks: set[asyncio.Task[None]] = set()
         self.keep_s = settings.conn_idle_ms * (1.0 - IDLE_MARGIN) / 1000.0
 
@@ -115,6 +117,14 @@
             self.hang_up(endpoint)
             self.forget(endpoint)
 
+    def ban(self, endpoint: str) -> None:
+        """Nothing new goes there; calls under way may end."""
+        self.banned.add(endpoint)
+        self.hang_up(endpoint)
+
+    def unban(self, endpoint: str) -> None:
+        self.banned.discard(endpoint)
+
     def forget(self, endpoint: str) -> None:
         """Guards against growth where endpoints come and go: of one that is gone only a wait is kept."""
         if not self.busy[endpoint]:
@@ -144,7 +154,8 @@
         while (idle := self.idle.get(endpoint)) and now - idle[0][1] >= self.keep_s:
             self.drop(endpoint, idle[0])
         place = self.places.get(endpoint)
-        if place is None or place.state is not State.READY or place.address != connection.address:
+        barred = endpoint in self.banned
+        if barred or place is None or place.state is not State.READY or place.address != connection.address:
             self.close(connection)
             return
         entry = (connection, now)
@@ -190,7 +201,7 @@
 
     def send(self, endpoint: str, attempts: list[Attempt]) -> None:
         """Start the calls that one turn's attempts at an endpoint make."""
-        if endpoint not in self.places:  # it has just gone
+        if endpoint not in self.places or endpoint in self.banned:  # it has just gone, or been taken out
             for attempt in attempts:
                 self.report(Result(attempt, endpoint, Outcome.MOOT, 0.0))
             return
@@ -264,6 +275,7 @@
                         self.dropped(call.endpoint)
                         connection = None
                 else:
+                    self.written += len(attempts)
                     ends = await self.answer(connection, call)
         except TimeoutError:
             broken = Outcome.TIMEOUT
@@ -330,6 +342,8 @@
         """Guards against a send that was decided before its connection came up: by then a wait may have been
         told, or the endpoint may be draining."""
         place = self.places[endpoint]
+        if endpoint in self.banned:
+            return True
         return place.state is not State.READY or self.waits.get(place.lane, 0.0) > self.loop.time()
 
     async def request(self, connection: Connection, call: Call, attempts: list[Attempt]) -> None:
@@ -376,7 +390,7 @@
                 self.leave(connection, call, Outcome.ERROR)
 
     def probe(self, endpoint: str, report: Callable[[str, Outcome, float], None]) -> None:
-        if endpoint in self.places:
+        if endpoint in self.places and endpoint not in self.banned:
             self.keep_task(endpoint, self.run_probe(endpoint, report))
         else:
             report(endpoint, Outcome.MOOT, 0.0)
--- /dev/null
+++ b/rushhitch/journal/side.py
@@ -0,0 +1,75 @@
+"""Small files beside the journal's segments, replaced as a whole, within the same account of the disk."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import logging
+import os
+import zlib
+
+from rushhitch.journal.files import on_disk
+from rushhitch.journal.store import Journal, Sync
+
+log = logging.getLogger(__name__)
+
+DRAFT = ".draft"  # after the name, until the whole of it is written
+
+
+class Side:
+    """One such file: the old content or the new, never a part. A damaged one reads as none."""
+
+    def __init__(self, journal: Journal, name: str) -> None:
+        self.journal, self.files, self.name = journal, journal.files, name
+        names = self.files.names()
+        self.size = names.get(name, 0)
+        if name + DRAFT in names:  # its writer was killed
+            self.files.unlink(name + DRAFT)
+            journal.used -= on_disk(names[name + DRAFT])
+
+    def load(self) -> bytes | None:
+        """The content; None where there is none to trust, with a line in the log if it is damaged."""
+        if not self.size:
+            return None
+        try:
+            content = unsealed(self.files.read(self.name))
+        except OSError as error:
+            log.error("%s cannot be read: %s", self.name, error)
+            return None
+        if content is None:
+            log.error("%s is damaged: what it held is unknown", self.name)
+        return content
+
+    def store(self, content: bytes) -> None:
+        """Replace it; an `OSError` where the disk does not take it, and then the old one stands."""
+        data = sealed(content)
+        if self.journal.used + on_disk(len(data)) > self.journal.space.disk:
+            self.journal.set_free(on_disk(len(data)))
+        draft = self.name + DRAFT
+        fd = self.files.create(draft)
+        try:
+            try:
+                if self.files.write(fd, data) < len(data):
+                    raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+                if self.journal.sync is not Sync.NONE:
+                    self.files.sync(fd)
+            finally:
+                self.files.close(fd)
+            self.files.rename(draft, self.name)
+        except BaseException:
+            with contextlib.suppress(OSError):
+                self.files.unlink(draft)
+            raise
+        self.journal.used += on_disk(len(data)) - on_disk(self.size)
+        self.size = len(data)
+        if self.journal.sync is not Sync.NONE:
+            self.files.sync_folder()
+
+
+def sealed(content: bytes) -> bytes:
+    return b"%08x\n" % zlib.crc32(content) + content
+
+
+def unsealed(data: bytes) -> bytes | None:
+    told, end, content = data.partition(b"\n")
+    return content if end and told == b"%08x" % zlib.crc32(content) else None
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -15,9 +15,13 @@
 from crowpier import interface as api
 from crowpier.interface import Outcome, Settings, State
 from rushhitch.acknowledgements import ACKNOWLEDGED, UNKNOWN, Acknowledgement, Effect, Past, Verdict, effect
+from rushhitch.config.history import History
 from rushhitch.connection import parse_address
+from rushhitch.control.bans import Bans
+from rushhitch.control.words import Refused
 from rushhitch.ended import KEEP_S, MOST, End, Ended
 from rushhitch.endpoints import PLATFORM, Endpoints, Place, Result
+from rushhitch.figures import Figures
 from rushhitch.fronts.taker import DELIVERED, FAILED, TAKEN, Answer, BadRequest, Offer, Pending, Reply
 from rushhitch.journal import Journal, Kept
 from rushhitch.journal.commit import Committer
@@ -89,6 +93,8 @@
         connections: int = 256,
         codecs: Mapping[int, Codec] | None = None,
         keep_s: float = KEEP_S,
+        bans: Bans | None = None,
+        history: History | None = None,
     ) -> None:
         self.settings, self.dispatcher, self.journal, self.notify = settings, dispatcher, journal, notify
         self.keep_s = keep_s
@@ -96,10 +102,14 @@
         self.loop = asyncio.get_running_loop()
         self.endpoints = Endpoints(settings, self.attempt_ended, self.dropped, connections, self.withdrawn)
         self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
+        self.history = history or History()  # of settings: what messages were taken under
+        self.figures = Figures(self.classes)
+        self.bans = bans  # endpoints that operators took out
         self.kinds = {kind.name: position for position, kind in enumerate(settings.kinds)}
         self.zones = {zone: position for position, zone in enumerate(settings.zones)}
         self.entries: dict[str, api.Entry] = {}
         self.destinations: dict[int, float] = {}  # and when each last had an endpoint
+        self.left: dict[str, float] = {}  # endpoints that are no longer listed, and since when
         self.messages: dict[int, Message] = {}
         self.by_id: dict[bytes, Message] = {}
         self.numbers = journal.highest
@@ -122,6 +132,9 @@
         self.gathering = False
         self.idle = asyncio.Event()
         self.idle.set()
+        for endpoint in sorted(bans.ids) if bans is not None else ():
+            self.endpoints.ban(endpoint)
+            self.note(api.Detached(endpoint))
 
     # Events
 
@@ -144,8 +157,10 @@
         gone = {entry.endpoint for entry in entries if entry.state is State.GONE}
         if kind is not api.ListKind.DELTA:
             gone |= self.entries.keys() - {entry.endpoint for entry in entries}
+        now = self.loop.time()
         for name in gone:
-            self.entries.pop(name, None)
+            if self.entries.pop(name, None) is not None:
+                self.left[name] = now
             self.endpoints.bar(name)
             if self.rows.pop(name, None) is not None and self.gate is not None:
                 self.gate.remove(name)
@@ -154,7 +169,7 @@
         if kind is not api.ListKind.CACHED:  # what was known at the start may be old
             for name in [name for name in self.journal.cold if name not in self.entries]:
                 self.journal.warm(name)
-        now = self.loop.time()
+        self.left = {name: at for name, at in self.left.items() if now - at <= LINGER_S}
         self.destinations |= dict.fromkeys((entry.destination for entry in self.entries.values()), now)
         for destination in [d for d, at in self.destinations.items() if now - at > LINGER_S]:
             del self.destinations[destination]
@@ -195,6 +210,53 @@
         """What the decision module calls the endpoint's lane."""
         return entry.endpoint if self.settings.kinds[entry.kind].apart else entry.destination
 
+    # Operators
+
+    def detach(self, endpoint: str) -> None:
+        """Take the endpoint out; raises `Refused` and changes nothing where that cannot be kept. When it
+        returns, no call can start there: the module hears of it in this turn, the sockets know it now."""
+        assert self.bans is not None, "there is no control address"
+        if endpoint not in self.entries and endpoint not in self.left and endpoint not in self.bans.ids:
+            raise Refused(f"no endpoint is called {endpoint}: INFO tells how many there are")
+        try:
+            self.bans.add(endpoint)
+        except OSError as error:
+            raise Refused(f"the ban cannot be kept: {error}") from None
+        self.endpoints.ban(endpoint)
+        self.note(api.Detached(endpoint))
+        log.info("endpoint %s is taken out by operators", endpoint)
+
+    def attach(self, endpoint: str) -> None:
+        """The endpoint may serve again; one that is not out stays as it is."""
+        assert self.bans is not None, "there is no control address"
+        if endpoint not in self.bans.ids:
+            if endpoint not in self.entries and endpoint not in self.left:
+                raise Refused(f"no endpoint is called {endpoint}, and none of that name is out")
+            return
+        try:
+            self.bans.remove(endpoint)
+        except OSError as error:
+            raise Refused(f"the end of the ban cannot be kept: {error}") from None
+        self.endpoints.unban(endpoint)
+        self.note(api.Attached(endpoint))
+        log.info("endpoint %s is given back by operators", endpoint)
+
+    def info(self) -> dict[str, Any]:
+        """The figures as of now."""
+        known = len(self.entries), self.dispatcher.avoided()
+        return self.figures.report(self.endpoints.written, len(self.by_id), *known)
+
+    def reconfigure(self, settings: Settings, history: History) -> None:
+        """Take other settings for what comes from now on; `history` tells of them too. Raises `ValueError`
+        and changes nothing where they need another process."""
+        if settings.kinds != self.settings.kinds or settings.zones != self.settings.zones:
+            raise ValueError("settings: kinds and zones change with a restart or an upgrade, not at SIGHUP")
+        self.settings, self.history = settings, history
+        self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
+        self.figures.named(self.classes)
+        self.endpoints.settings = settings
+        self.note(api.Reconfigured(settings))
+
     def regate(self, endpoint: str) -> None:
         """The gate has changed its mind on the endpoint."""
         if (row := self.rows.get(endpoint)) is not None:
@@ -230,6 +292,7 @@
             self.journal.end(gone)
         full = offer.remember and self.ended.full(len(self.by_id))
         if full or len(self.by_id) >= self.settings.max_held or not self.journal.has_room(room):
+            self.figures.ended(offer.cls, "refused")
             answer(Reply("refused", BUSY_MS))
             return 0
         self.numbers += 1
@@ -311,10 +374,11 @@
                 if result in ("dead", "bounced"):
                     self.notify(kept.number, kept.id, result, wait_ms)
                 continue
-            if kept.cls not in self.classes:
+            if kept.cls not in self.classes and self.history.terms(kept.number, kept.cls) is None:
                 log.error("message %r is of class %r, which is gone: it is failed", kept.id, kept.cls)
                 self.journal.owe(kept.number, "dead", 0.0)
                 self.notices.append((kept.number, kept.id, "dead", 0.0))
+                self.figures.ended(kept.cls, "failed")
                 continue
             message = self.enter(kept)
             if kept.handed is not None and self.acknowledges(kept.destination) and not self.ordered(kept):
@@ -328,11 +392,11 @@
     def arrive(self, message: Message) -> None:
         """Give the module a message that has had attempts, none of which is out."""
         kept, now = message.kept, time.time()
-        ran = kept.first_run
+        ran, terms = kept.first_run, self.history.terms(kept.number, kept.cls)
         self.note(
             api.Arrived(
                 message.number,
-                self.classes[kept.cls],
+                self.classes.get(kept.cls, 0),
                 kept.destination,
                 max((kept.deadline - now) * 1000.0, 0.0),
                 key=kept.key,
@@ -340,6 +404,7 @@
                 attempts=kept.attempts,
                 ran_ago_ms=max((now - ran[1]) * 1000.0, 0.0) if ran else None,
                 ran_endpoint=ran[0] if ran else "",
+                terms=terms,
             )
         )
 
@@ -351,7 +416,11 @@
 
     def ordered(self, kept: Kept) -> bool:
         """Whether messages of its key go one after another."""
-        return bool(kept.key) and self.settings.classes[self.classes[kept.cls]].in_order
+        if not kept.key:
+            return False
+        if (terms := self.history.terms(kept.number, kept.cls)) is not None:
+            return terms.cls.in_order
+        return self.settings.classes[self.classes[kept.cls]].in_order
 
     def hand_over(self, message: Message) -> None:
         """The call was answered; what became of the message is told later, or it fails in time."""
@@ -638,9 +707,10 @@
         if message.answer is not None:
             answer, message.answer = message.answer, None
             message.enders.clear()  # it was never taken on
-            answer(FAILED if result == "dead" else Reply("refused", wait_ms))
+            end = FAILED if result == "dead" else Reply("refused", wait_ms)
+            answer(end)
             message.sink = b""
-            self.close(message)
+            self.close(message, end=end)
             return
         end = FAILED if result == "dead" else Reply("refused", wait_ms)
         self.tell_sink(message, end)
@@ -656,6 +726,8 @@
             return
         self.tell_sink(message, end)
         message.over = True
+        if end is not WITHDRAWN:
+            self.figures.ended(message.kept.cls, end.what)
         self.ends += [(ended, end) for ended in message.enders]
         message.enders.clear()
         if message.watchdog is not None:
--- /dev/null
+++ b/tests/test_maintenance.py
@@ -0,0 +1,336 @@
+"""Endpoints that operators take out and give back: the decisions, the door to the sockets, the file."""
+
+import asyncio
+import errno
+
+import pytest
+from bed import SAFE, UNSAFE, Bed
+from doubles import run
+from hypothesis import settings as budget
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from test_node import OFFER, Bench
+
+from crowpier.interface import Attached, Detached, Entry, ListKind, Outcome, Remember, Send, State
+from rushhitch.control.bans import NAME, Bans
+from rushhitch.control.words import Refused
+from rushhitch.fronts.taker import TAKEN, Offer
+from rushhitch.journal import Journal
+from rushhitch.journal.files import Files
+from rushhitch.journal.side import DRAFT
+
+FIRST, SECOND = Entry("e1", 1), Entry("e2", 1)
+
+
+def test_nothing_new_goes_to_an_endpoint_that_was_taken_out_and_what_is_out_may_end():
+    bed = Bed(FIRST, SECOND)
+    bed.arrive(1)
+    (out,) = bed.where(1)
+    bed.feed(Detached(out))
+    bed.end(1, Outcome.OK)
+    for message in range(2, 12):
+        bed.arrive(message)
+        bed.end(message, Outcome.OK)
+        assert out not in bed.where(message)
+
+
+def test_a_retry_that_is_due_goes_elsewhere():
+    bed = Bed(FIRST, SECOND)
+    bed.arrive(1)
+    (out,) = bed.where(1)
+    bed.end(1, Outcome.ERROR)  # the next try would stay at the first endpoint
+    bed.feed(Detached(out))
+    bed.pass_ms(3000, timeouts=False)
+    assert bed.where(1)[1:] and out not in bed.where(1)[1:]
+
+
+def test_where_all_routes_are_out_messages_wait_and_go_once_one_is_back():
+    bed = Bed(FIRST, SECOND)
+    bed.feed(Detached("e1"), Detached("e2"))
+    bed.arrive(1)
+    bed.pass_ms(1000)
+    assert not bed.where(1) and 1 not in bed.answers
+    bed.feed(Attached("e2"))
+    bed.pass_ms(1000)
+    assert bed.where(1) == ["e2"]
+
+
+def test_where_all_routes_stay_out_a_message_is_refused_in_time():
+    bed = Bed(FIRST)
+    bed.feed(Detached("e1"))
+    bed.arrive(1)
+    bed.pass_ms(7000)
+    assert bed.answers[1] == "refuse"
+
+
+@pytest.mark.parametrize("state", [State.READY, State.DRAINING])
+def test_the_ban_holds_whatever_the_list_says(state):
+    bed = Bed(FIRST, SECOND)
+    bed.feed(Detached("e1"))
+    bed.list(Entry("e1", 1, state=State.GONE), kind=ListKind.DELTA)
+    bed.list(Entry("e1", 1, state=state), kind=ListKind.DELTA)
+    bed.list(FIRST, SECOND)
+    for message in range(1, 9):
+        bed.arrive(message, destination=1)
+        bed.end(message, Outcome.OK)
+        assert bed.where(message) == ["e2"]
+
+
+def test_an_endpoint_that_was_given_back_is_cold_and_nothing_speaks_against_it():
+    bed = Bed(FIRST)
+    for message in range(20):
+        bed.arrive(message)
+        bed.pass_ms(100, timeouts=False)
+        bed.end(message, Outcome.OK)
+    bed.feed(Detached("e1"))
+    bed.pass_ms(2000)
+    actions = bed.feed(Attached("e1"))
+    assert [a.cold for a in actions if isinstance(a, Remember)] == [True]
+    bed.arrive_together(100, 101, 102, 103, 104)
+    assert len(bed.sends()) <= 1, "a burst for what has just started"
+    bed.answer_all(4000, 50)
+    assert all(bed.answers.get(message) == "served" for message in range(100, 105))
+
+
+def test_one_that_is_given_back_while_it_is_not_listed_is_cold_when_it_comes():
+    bed = Bed(FIRST, SECOND)
+    bed.feed(Detached("e1"))
+    bed.list(Entry("e1", 1, state=State.GONE), kind=ListKind.DELTA)
+    bed.feed(Attached("e1"))
+    bed.list(FIRST, kind=ListKind.DELTA)
+    bed.feed(Detached("e2"))
+    bed.arrive_together(1, 2, 3, 4)
+    assert len(bed.out) == 1
+
+
+def test_twice_out_needs_once_in():
+    bed = Bed(FIRST)
+    bed.feed(Detached("e1"), Detached("e1"), Attached("e1"))
+    bed.arrive(1)
+    bed.pass_ms(1000, timeouts=False)
+    assert bed.where(1) == ["e1"]
+
+
+def test_a_batch_that_is_being_gathered_takes_no_rider_to_what_was_taken_out():
+    bed = Bed(Entry("e1", 1, kind=2))
+    bed.arrive_together(1, 2, 3)
+    assert len(bed.out) == 3
+    bed.feed(Detached("e1"))
+    bed.arrive(4)
+    bed.pass_ms(500, timeouts=False)
+    assert not bed.where(4)
+
+
+class BanMachine(RuleBasedStateMachine):
+    """Bans, lists and messages in any order: no send goes to what is out, and the counts agree."""
+
+    def __init__(self):
+        super().__init__()
+        self.bed, self.out, self.message = Bed(FIRST, SECOND), set(), 0
+        self.listed = {"e1", "e2"}
+
+    def note(self, actions):
+        for action in actions:
+            if isinstance(action, Send):
+                assert action.endpoint not in self.out
+
+    @rule(name=st.sampled_from(["e1", "e2"]))
+    def take_out(self, name):
+        self.out.add(name)
+        self.note(self.bed.feed(Detached(name)))
+
+    @rule(name=st.sampled_from(["e1", "e2"]))
+    def give_back(self, name):
+        self.out.discard(name)
+        self.note(self.bed.feed(Attached(name)))
+
+    @rule(name=st.sampled_from(["e1", "e2"]), there=st.booleans())
+    def list_again(self, name, there):
+        (self.listed.add if there else self.listed.discard)(name)
+        state = State.READY if there else State.GONE
+        self.note(self.bed.list(Entry(name, 1, state=state), kind=ListKind.DELTA))
+
+    @rule(cls=st.sampled_from([SAFE, UNSAFE]))
+    def hand_in(self, cls):
+        self.message += 1
+        if len(self.bed.dispatcher.messages) < 30:
+            self.note(self.bed.arrive(self.message, cls))
+
+    @rule(ends=st.sampled_from([Outcome.OK, Outcome.ERROR, Outcome.FULL]))
+    def answer(self, ends):
+        for message, attempt in list(self.bed.out):
+            self.note(self.bed.end(message, ends, attempt))
+
+    @rule(span=st.integers(1, 3000))
+    def wait(self, span):
+        self.bed.pass_ms(span)
+        self.note(self.bed.actions)
+
+    @invariant()
+    def the_count_of_those_avoided_has_all_that_are_out(self):
+        assert self.bed.dispatcher.avoided() >= len(self.out & set(self.bed.dispatcher.endpoints))
+        assert self.bed.dispatcher.detached == self.out
+
+
+BanMachine.TestCase.settings = budget(
+    max_examples=40, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestBans = BanMachine.TestCase
+
+
+def with_bans(folder):
+    """A node of the tests, with its bans in the folder."""
+
+    def decorate(test):
+        async def work():
+            bench = await Bench().start(folder)
+            bench.node.bans = Bans(bench.journal)
+            try:
+                await test(bench)
+            finally:
+                bench.journal.close()
+
+        run(work())
+
+    return decorate
+
+
+def test_a_call_whose_connection_is_being_opened_is_not_sent_once_the_answer_was_yes(tmp_path):
+    @with_bans(tmp_path)
+    async def _(bench):
+        started = []
+        connect = bench.node.endpoints.connect
+
+        async def slow(endpoint):
+            connection = await connect(endpoint)
+            bench.node.detach(endpoint)  # the operators' call comes while the connection is coming up
+            started.append(endpoint)
+            return connection
+
+        bench.node.endpoints.connect = slow
+        bench.offer()
+        assert await bench.answers.get() == TAKEN
+        while not started:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)
+        assert bench.partner.requests.empty() and bench.node.endpoints.written == 0
+        bench.node.endpoints.connect = connect
+        bench.node.attach("e1")
+        request = await bench.partner.next()
+        assert request.headers["x-correlation-id"] == OFFER.id.decode()
+        request.answer(200)
+
+
+def test_a_send_that_was_decided_in_the_same_turn_does_not_go(tmp_path):
+    @with_bans(tmp_path)
+    async def _(bench):
+        bench.offer()
+        bench.node.detach("e1")  # before the turn that would send it: the module hears of it last
+        assert await bench.answers.get() == TAKEN
+        await asyncio.sleep(0.1)
+        assert bench.partner.requests.empty()
+        bench.offer(Offer(b"m2", "note", 7, 6000.0, b""))
+        bench.node.attach("e1")
+        for _ in range(2):
+            (await bench.partner.next()).answer(200)
+
+
+def test_ids_that_nobody_has_are_refused_and_one_that_has_just_left_is_not(tmp_path):
+    @with_bans(tmp_path)
+    async def _(bench):
+        for operation in (bench.node.detach, bench.node.attach):
+            with pytest.raises(Refused, match="no endpoint is called nobody"):
+                operation("nobody")
+        bench.node.listed({"version": 42, "full": False, "servers": [bench.row | {"state": "DELETED"}]})
+        bench.node.detach("e1")
+        assert Bans(bench.journal).ids == {"e1"}
+        bench.node.left.clear()  # long ago
+        bench.node.attach("e1")
+        assert Bans(bench.journal).ids == set()
+
+
+def test_a_ban_that_cannot_be_kept_is_refused_and_changes_nothing(tmp_path, monkeypatch):
+    @with_bans(tmp_path)
+    async def _(bench):
+        def full(fd, data):
+            raise OSError(errno.ENOSPC, "no space")
+
+        monkeypatch.setattr(bench.journal.files, "write", full)
+        with pytest.raises(Refused, match="cannot be kept"):
+            bench.node.detach("e1")
+        monkeypatch.undo()
+        assert not bench.node.bans.ids and not bench.node.endpoints.banned
+        bench.offer()
+        (await bench.partner.next()).answer(200)
+
+
+class Stopping(Files):
+    """Ends the process's life, as it were, before its n-th operation."""
+
+    left = 10**9
+
+    def step(self):
+        self.left -= 1
+        if self.left < 0:
+            raise KeyboardInterrupt
+
+    def create(self, name):
+        self.step()
+        return super().create(name)
+
+    def write(self, fd, data):
+        self.step()
+        if self.left == 0 and len(data) > 4:  # killed in the middle of it
+            return super().write(fd, data[:4])
+        return super().write(fd, data)
+
+    def close(self, fd):
+        self.step()
+        super().close(fd)
+
+    def rename(self, old, new):
+        self.step()
+        super().rename(old, new)
+
+    def unlink(self, name):
+        self.step()
+        super().unlink(name)
+
+
+def test_a_crash_at_every_operation_leaves_the_old_bans_or_the_new(tmp_path):
+    seen = set()
+    for stop in range(1, 50):
+        folder = tmp_path / str(stop)
+        folder.mkdir()
+        files = Stopping(folder)
+        journal = Journal(folder, 3e6, files=files)
+        bans = Bans(journal)
+        bans.add("e1")
+        files.left = stop
+        try:
+            bans.add("e2")
+            finished = True
+        except (KeyboardInterrupt, OSError):
+            finished = False
+        files.left = 10**9
+        journal.close()
+        again = Journal(folder, 3e6)
+        found = Bans(again)
+        assert found.ids in ({"e1"}, {"e1", "e2"})
+        assert not finished or found.ids == {"e1", "e2"}
+        assert not (folder / (NAME + DRAFT)).exists()
+        assert again.used == sum(-(-f.stat().st_size // 512) * 512 for f in folder.iterdir())
+        again.close()
+        seen.add(tuple(sorted(found.ids)))
+        if finished:
+            break
+    assert finished and len(seen) == 2
+
+
+def test_a_damaged_file_of_bans_does_not_keep_the_dispatcher_from_starting(tmp_path, caplog):
+    journal = Journal(tmp_path, 3e6)
+    Bans(journal).add("e1")
+    (tmp_path / NAME).write_bytes(b'00000000\n{"ids":["e1"]}')
+    assert Bans(journal).ids == set()
+    assert "what it held is unknown" in caplog.text
+    journal.close()
