--- a/crowpier/interface.py
+++ b/crowpier/interface.py
@@ -8,7 +8,9 @@
 
 import enum
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 
 class Effect(enum.Enum):
@@ -205,13 +207,24 @@
     max_attempts: int
 
 
+@dataclass(frozen=True, slots=True)
+class Lent:
+    """An attempt that an earlier process carries to its end. Those of one `call` share a slot."""
+
+    attempt: int
+    endpoint: str
+    call: int
+    sent_ago_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Arrived:
     """A message was taken; it must end exactly once, within `left_ms`.
 
     One that an earlier process took comes with the `attempts` it has had, all of which are over. If one may
     have run, `ran_ago_ms` and `ran_endpoint` tell when and where the first such went. `terms` are there where
-    it was taken under others than the settings' of now: they hold for it to its end.
+    it was taken under others than the settings' of now: they hold for it to its end. `out` has those of its
+    attempts that are still out, in the care of the earlier process: their outcomes come as of any other.
     """
 
     message: int
@@ -225,6 +238,7 @@
     ran_ago_ms: float | None = None
     ran_endpoint: str = ""
     terms: Terms | None = None
+    out: tuple[Lent, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -258,6 +272,14 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """What an earlier process had learned (`crowpier.learned.export`); our clock is `ahead_ms` of its."""
+
+    told: Mapping[str, Any]
+    ahead_ms: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Leaving:
     """The process will end `in_ms` from now: what is out by then has no known outcome."""
@@ -357,6 +379,7 @@
     | Detached
     | Attached
     | Reconfigured
+    | Learned
 )
 
 
--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -14,6 +14,7 @@
 from collections import defaultdict, deque
 
 import crowpier.interface as api
+from crowpier import learned
 from crowpier.interface import AttemptEnded, Effect, Outcome, Settings, State
 
 # The mechanism
@@ -319,6 +320,7 @@
         self.learn_classes(settings.classes)
         self.used = self.calls_made = 0
         self.slow: set[Endpoint] = set()  # as of the latest dispatch
+        self.lent: dict[int, Call] = {}  # by the earlier process's number, within one moment
         self.wakes_at = self.leaves_at = math.inf
         self.parked: deque[tuple[float, Endpoint]] = deque()  # connections in the order of falling idle
         self.keep, self.keep_at = settings.conn_idle_ms, 0.0
@@ -335,6 +337,7 @@
                 self.take(event)
             except ValueError as error:  # the others of the moment hold all the same
                 self.actions.append(api.Log(f"left out: {error}"))
+        self.lent.clear()
         self.ask_for_list()
         self.end_late()
         self.hang_up()
@@ -367,6 +370,8 @@
             self.attach(event.endpoint)
         elif isinstance(event, api.Reconfigured):
             self.reconfigured(event.settings)
+        elif isinstance(event, api.Learned):
+            learned.restore(self, dict(event.told), event.ahead_ms)
 
     # New settings
 
@@ -518,6 +523,10 @@
         if event.ran_ago_ms is not None:  # under an earlier process
             ran = self.endpoints.get(event.ran_endpoint)
             message.ran_at, message.ran_zone = self.now - event.ran_ago_ms, ran.zone if ran else -1
+        if event.out:
+            for lent in event.out:
+                self.take_over(message, lent)
+            return
         if event.attempts and not self.may_resend(message):
             self.give_up(message)
             return
@@ -525,6 +534,27 @@
         if len(self.messages) > FULL_HOUSE * self.settings.max_held:
             self.shed()
 
+    def take_over(self, message: Message, lent: api.Lent) -> None:
+        """An earlier process has the call out: it holds its slot here and its key's turn until it ends."""
+        call = self.lent.get(lent.call)
+        if call is None:
+            destination, endpoint = message.destination, self.endpoints.get(lent.endpoint)
+            if endpoint is None:  # it has left the list, and its call goes on
+                gone = api.Entry(lent.endpoint, 0, state=State.GONE)
+                endpoint = Endpoint(gone, Lane(), destination)
+                endpoint.state = State.GONE
+            self.calls_made += 1
+            sent_at = self.now - lent.sent_ago_ms
+            call = Call(self.calls_made, endpoint, message, sent_at, self.usual_call(message))
+            self.lent[lent.call] = call
+            self.used += 1
+            destination.calls[call.number] = endpoint.calls[call.number] = call
+        message.attempts += [None] * (lent.attempt + 1 - len(message.attempts))
+        message.attempts[lent.attempt] = call
+        message.first = message.first or call.endpoint
+        message.out += 1
+        call.left += 1
+
     def over_share(self, tenant: int) -> bool:
         """Guards against a tenant that floods: beyond our part of its allowance its messages count little."""
         if tenant >= len(self.quotas) or self.settings.tenants[tenant].allowance_per_s <= 0:
--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 from rushhitch.config.own import BadOwn, read_own
-from rushhitch.config.platform import BadConfiguration, read_configuration
-from rushhitch.service import serve
+from rushhitch.config.platform import BadConfiguration
+from rushhitch.service import configuration_in_force, serve
 
 
 class Throttle(logging.Filter):
@@ -39,7 +39,7 @@
         from rushhitch.cli import main as command  # only a command line needs it
 
         return command(sys.argv[1:])
-    return run(lambda: serve(read_configuration(os.environ)))
+    return run(lambda: serve(configuration_in_force(os.environ)))
 
 
 def loop_factory(loop: str) -> Callable[[], asyncio.AbstractEventLoop] | None:
--- a/rushhitch/config/platform.py
+++ b/rushhitch/config/platform.py
@@ -18,6 +18,10 @@
     """The configuration makes no sense; the text says what is wrong."""
 
 
+class BadFile(BadConfiguration):
+    """The platform's file makes no sense, or cannot be read."""
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """What the dispatcher is told at its start; `told` is the file as it stands."""
@@ -47,14 +51,14 @@
     try:
         told = json.loads(Path(path).read_bytes())
     except (OSError, ValueError) as error:
-        raise BadConfiguration(f"ROUTER_CONFIG: {path}: {error}") from None
+        raise BadFile(f"ROUTER_CONFIG: {path}: {error}") from None
     return configuration_of(told, environ, path)
 
 
 def configuration_of(told: Any, environ: Mapping[str, str], path: str) -> Configuration:
     """What the file's content says, beside the variables."""
     if not isinstance(told, dict):
-        raise BadConfiguration(f"ROUTER_CONFIG: {path}: not an object")
+        raise BadFile(f"ROUTER_CONFIG: {path}: not an object")
     try:
         own = read_own(environ)
     except BadOwn as error:
@@ -72,11 +76,11 @@
             value = None
         value = environ.get(variable) or value
         if value is None:
-            raise BadConfiguration(f"ROUTER_CONFIG: {path}: {'.'.join(keys)} is missing")
+            raise BadFile(f"ROUTER_CONFIG: {path}: {'.'.join(keys)} is missing")
         try:
             return read(value)
         except (ValueError, TypeError, AttributeError, KeyError) as error:
-            raise BadConfiguration(f"ROUTER_CONFIG: {path}: {'.'.join(keys)}: {error}") from None
+            raise BadFile(f"ROUTER_CONFIG: {path}: {'.'.join(keys)}: {error}") from None
 
     def megabytes(told: Any) -> float:
         return float(told) * 1e6
--- a/rushhitch/control/server.py
+++ b/rushhitch/control/server.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
-from rushhitch.control.words import MOST_LINE, Operations, answer, refusal, whole
+from rushhitch.control.words import MOST_LINE, refusal, whole
 
 log = logging.getLogger(__name__)
 
@@ -18,7 +19,7 @@
     """One connection: a line in, an answer out, and the end."""
 
     def __init__(self, server: Control) -> None:
-        self.server, self.data = server, b""
+        self.server, self.data, self.asking = server, b"", False
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -40,20 +41,29 @@
             self.reply()
 
     def eof_received(self) -> bool:
-        """A caller that ends its sending has said all that it will."""
+        """A caller that ends its sending has said all that it will, and still hears the answer."""
         if self.transport is not None and not self.transport.is_closing():
             self.reply()
-        return False
+        return True
 
     def reply(self) -> None:
-        assert self.transport is not None, "there is no connection yet"
+        if self.asking:
+            return
+        self.asking = True
         try:
-            said = answer(self.data, self.server.operations)
+            said = self.server.answer(self.data)
         except Exception:
             log.exception("a control call failed")
             said = refusal("an error of the dispatcher: see its log")
-        self.transport.write(said)
-        self.transport.close()
+        if isinstance(said, bytes):
+            self.say(said)
+        else:
+            said.add_done_callback(lambda done: self.say(done.result()))
+
+    def say(self, said: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(said)
+            self.transport.close()
 
     def send_away(self) -> None:
         if self.transport is not None:
@@ -61,10 +71,11 @@
 
 
 class Control:
-    """The listener and its callers, in the order in which they came."""
+    """The listener and its callers, in the order in which they came. `answer` gives the reply to a line, or
+    a future of it."""
 
-    def __init__(self, operations: Operations) -> None:
-        self.operations = operations
+    def __init__(self, answer: Callable[[bytes], bytes | asyncio.Future[bytes]]) -> None:
+        self.answer = answer
         self.callers: dict[Caller, None] = {}
         self.server: asyncio.Server | None = None
 
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -70,6 +70,8 @@
     kept: bool = False
     later: bool = False  # its answer says that an acknowledgement is to come
     task: asyncio.Task[None] | None = None
+    written: bool = False  # its last byte has gone out
+    recalled: bool = False  # it is not to go out any more
 
 
 class NoRoom(OSError):
@@ -98,6 +100,7 @@
         self.calls: dict[tuple[int, int], Call] = {}
         self.waits: dict[object, float] = {}
         self.banned: set[str] = set()  # by operators, listed or not
+        self.frozen = False  # nothing new starts, another process goes on
         self.written = 0  # messages whose call's last byte has gone out
         self.tasks: set[asyncio.Task[None]] = set()
         self.keep_s = settings.conn_idle_ms * (1.0 - IDLE_MARGIN) / 1000.0
@@ -125,6 +128,21 @@
     def unban(self, endpoint: str) -> None:
         self.banned.discard(endpoint)
 
+    async def freeze(self) -> None:
+        """Start nothing more, and call back what has not been written whole: that never ran. The other calls
+        go on."""
+        self.frozen = True
+        called_back = []
+        for call in {id(call): call for call in self.calls.values()}.values():
+            if not call.written and call.task is not None:
+                call.recalled = True
+                call.task.cancel()
+                called_back.append(call.task)
+        if called_back:
+            await asyncio.wait(called_back)
+        for endpoint in list(self.idle):
+            self.hang_up(endpoint)
+
     def forget(self, endpoint: str) -> None:
         """Guards against growth where endpoints come and go: of one that is gone only a wait is kept."""
         if not self.busy[endpoint]:
@@ -154,7 +172,7 @@
         while (idle := self.idle.get(endpoint)) and now - idle[0][1] >= self.keep_s:
             self.drop(endpoint, idle[0])
         place = self.places.get(endpoint)
-        barred = endpoint in self.banned
+        barred = self.frozen or endpoint in self.banned
         if barred or place is None or place.state is not State.READY or place.address != connection.address:
             self.close(connection)
             return
@@ -201,7 +219,7 @@
 
     def send(self, endpoint: str, attempts: list[Attempt]) -> None:
         """Start the calls that one turn's attempts at an endpoint make."""
-        if endpoint not in self.places or endpoint in self.banned:  # it has just gone, or been taken out
+        if self.frozen or endpoint not in self.places or endpoint in self.banned:
             for attempt in attempts:
                 self.report(Result(attempt, endpoint, Outcome.MOOT, 0.0))
             return
@@ -275,12 +293,14 @@
                         self.dropped(call.endpoint)
                         connection = None
                 else:
+                    call.written = True
                     self.written += len(attempts)
                     ends = await self.answer(connection, call)
         except TimeoutError:
             broken = Outcome.TIMEOUT
         except asyncio.CancelledError:
-            broken = Outcome.CANCELLED
+            sent = connection is not None and connection.written
+            broken = Outcome.MOOT if call.recalled and not sent else Outcome.CANCELLED
         except NoRoom as error:
             log.warning("not sent to %s: %s", call.endpoint, error)
             broken = Outcome.MOOT
@@ -318,7 +338,8 @@
     def leave(self, connection: Connection, call: Call, broken: Outcome) -> None:
         """Keep the connection if its call has come to a clean end, or was never written."""
         connection.begun = None
-        call.kept = connection.next_cycle() if connection.written else broken is Outcome.MOOT
+        unused = broken is Outcome.MOOT and not call.recalled  # what was called back may be half written
+        call.kept = connection.next_cycle() if connection.written else unused
         if call.kept:
             self.put(call.endpoint, connection)
         else:
--- a/rushhitch/fronts/cloudevents.py
+++ b/rushhitch/fronts/cloudevents.py
@@ -188,6 +188,8 @@
 class CloudEvents(ClientConnection):
     """One client connection. Requests are served one after another, in the order in which they came."""
 
+    name = "cloudevents"
+
     def __init__(self, server: Clients, rules: Rules) -> None:
         super().__init__(server)
         self.rules = rules
@@ -218,6 +220,13 @@
         self.http.receive_data(data)
         self.serve()
 
+    def portable(self) -> bytes | None:
+        """Between requests only: what h11 has read cannot be taken out of it."""
+        if self.intake is not None and not self.intake.over:
+            self.intake.finish()  # whoever waits for an end hears now what is known
+        idle = self.http.our_state is h11.IDLE and not (self.slots or self.size or self.ended)
+        return b"" if idle and not (self.deaf or self.full or self.finishing) else None
+
     def eof_received(self) -> bool:
         """A client that has ended its sending still hears the answer that is due."""
         self.ended = True
--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -18,6 +18,7 @@
 SILENT_S = 2.0  # a connection that has asked nothing, or half a request, is closed after so long
 IDLE_S = 6.0  # one that stands between requests is closed after so long
 SWEEP_S = 0.25  # between two looks for such connections
+BACKLOG = 512  # connections that may wait to be accepted
 ACCEPTS = 16  # connections taken at once, so that a crowd does not hold up those who ask
 
 
@@ -41,6 +42,8 @@
     """One client connection; answers go out in the order of the requests. A front says how requests are read
     (`data_received`, which tells `half_sent` what it holds) and how an error looks (`error`)."""
 
+    name = ""  # of the front
+
     def __init__(self, server: Clients) -> None:
         self.server, self.taker = server, server.taker
         self.loop = asyncio.get_running_loop()
@@ -129,6 +132,18 @@
         if not self.slots and self.between() and self.transport is not None:
             self.transport.close()
 
+    def portable(self) -> bytes | None:
+        """What was read of a request that has not come whole, for another process to read on; None where the
+        connection cannot be passed on as it stands."""
+        return None
+
+    def resume(self, tail: bytes, asked: bool, heard_at: float) -> None:
+        """Go on where another process stopped reading."""
+        self.asked = asked
+        if tail:
+            self.data_received(tail)
+        self.heard_at = heard_at
+
     def end_waiting(self, now: float) -> None:
         """Guards against clients that say nothing, or half a request, or keep a connection for good."""
         waited = now - self.heard_at
@@ -165,13 +180,24 @@
         self.clients: dict[ClientConnection, None] = {}  # in the order in which they were last heard
         self.accepted: set[asyncio.Task] = set()
         self.listeners: list[socket.socket] = []
-
-    async def listen(
-        self, address: tuple[str, int], front: Callable[[Clients], ClientConnection]
+        self.fronts: dict[str, Callable[[Clients], ClientConnection]] = {}  # by name, as their listeners
+
+    def listen(
+        self,
+        address: tuple[str, int],
+        name: str,
+        front: Callable[[Clients], ClientConnection],
+        passed: socket.socket | None = None,
     ) -> tuple[str, int]:
-        """Listen there for connections of that front; gives the address, where port 0 was told."""
-        listener = socket.create_server(address, backlog=512)
+        """Accept connections of that front there from now on; gives the address, where port 0 was told. With
+        a listener that another process has passed on, what waits in its queue is not lost; one at another
+        address than is wanted now is closed."""
+        if passed is not None and address[1] and passed.getsockname() != address:
+            passed.close()
+            passed = None
+        listener = passed or socket.create_server(address, backlog=BACKLOG)
         listener.setblocking(False)
+        self.fronts[name] = front
         self.loop.add_reader(listener, self.accept, listener, front)
         if not self.listeners:
             self.loop.call_later(SWEEP_S, self.sweep)
@@ -192,6 +218,22 @@
             self.accepted.add(task)
             task.add_done_callback(self.accepted.discard)
 
+    def adopt(self, sock: socket.socket, name: str, tail: bytes, asked: bool, heard_at: float) -> None:
+        """A client's connection that another process has passed on."""
+        front = self.fronts.get(name)
+        if front is None:  # it is not served here any more
+            sock.close()
+            return
+
+        async def connect() -> None:
+            _, client = await self.loop.connect_accepted_socket(lambda: front(self), sock)
+            client.resume(tail, asked, heard_at)
+
+        sock.setblocking(False)
+        task = self.loop.create_task(connect())
+        self.accepted.add(task)
+        task.add_done_callback(self.accepted.discard)
+
     @property
     def address(self) -> tuple[str, int]:
         """Of the first listener."""
--- a/rushhitch/fronts/resp2.py
+++ b/rushhitch/fronts/resp2.py
@@ -111,9 +111,12 @@
 class Resp2(ClientConnection):
     """One client connection; answers go out in the order of the requests."""
 
+    name = "resp2"
+
     def __init__(self, server: Clients) -> None:
         super().__init__(server)
         self.framing, self.reader = Framing(), hiredis.Reader(notEnoughData=NOTHING)
+        self.tail = bytearray()  # of the input: the request that has not come whole
 
     def error(self, text: str, fault: Fault) -> bytes:
         return error_line(text)
@@ -125,11 +128,18 @@
         if not self.size:
             self.heard_at = self.loop.time()
         self.reader.feed(data[: self.framing.follow(data)])
+        self.tail += data
+        del self.tail[: len(self.tail) - self.framing.size]
         if not self.half_sent(self.framing.size):
             self.framing.wrong = self.framing.wrong or "too many requests are half sent"
         if self.resting is None:
             self.serve()
 
+    def portable(self) -> bytes | None:
+        if self.slots or self.resting or self.deaf or self.full or self.finishing:
+            return None
+        return bytes(self.tail)
+
     def serve(self) -> None:
         """Take the requests that have come; guards against one connection that holds up all others."""
         self.resting = None
--- a/rushhitch/journal/commit.py
+++ b/rushhitch/journal/commit.py
@@ -61,6 +61,11 @@
             self.journal.tend()
         self.syncing = None
 
+    async def quiet(self) -> None:
+        """Until nothing waits for the disk."""
+        while self.syncing is not None:
+            await asyncio.wait([self.syncing])
+
     def close(self) -> None:
         if self.pool is not None:
             self.pool.shutdown(wait=True, cancel_futures=True)
--- a/rushhitch/journal/files.py
+++ b/rushhitch/journal/files.py
@@ -80,7 +80,10 @@
         os.unlink(self.folder / name)
 
     def lock(self, name: str) -> bool:
-        """Hold the folder until the process ends or `unlock`; False where another process holds it."""
+        """Hold the folder until the process ends or `unlock`; False where another process holds it. A lock
+        that was handed over (`lock_fd`) is held already."""
+        if self.lock_fd >= 0:
+            return True
         self.lock_fd = os.open(self.folder / name, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, MODE)
         try:
             fcntl.flock(self.lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/rushhitch/journal/format.py
+++ b/rushhitch/journal/format.py
@@ -50,6 +50,10 @@
     """The journal cannot be used as it is; the text says why and what to do. Nothing was changed."""
 
 
+class Held(JournalError):
+    """Another process holds the folder."""
+
+
 @dataclass(slots=True)
 class Kept:
     """A message that was taken on and is not over, as far as the journal knows."""
--- a/rushhitch/journal/store.py
+++ b/rushhitch/journal/store.py
@@ -21,7 +21,7 @@
 from rushhitch.journal import format as form
 from rushhitch.journal import legacy
 from rushhitch.journal.files import BLOCK, Files, on_disk
-from rushhitch.journal.format import JournalError, Kept
+from rushhitch.journal.format import Held, JournalError, Kept
 from rushhitch.journal.space import RECORD_ROOM, Space
 
 log = logging.getLogger(__name__)
@@ -144,9 +144,7 @@
         self.aside: dict[str, int] = {}  # damaged files that were set aside, in whole blocks
         self.report = Report()
         if writable and not self.files.lock(LOCK):
-            raise JournalError(
-                f"{folder} is held by another process: stop that one first, or use another folder"
-            )
+            raise Held(f"{folder} is held by another process: stop that one first, or use another folder")
         collects = gc.isenabled()
         gc.disable()  # many new objects, none of them garbage, would be gone through again and again
         try:
@@ -162,11 +160,21 @@
 
     def close(self) -> None:
         """Give the folder back; what was not flushed is not written."""
+        self.close_segments()
+        self.files.unlock()
+
+    def hand_over(self) -> int:
+        """Write nothing more. The descriptor that holds the folder, for the process that goes on: while it
+        is open anywhere, nobody else can take the folder."""
+        self.close_segments()
+        fd, self.files.lock_fd = self.files.lock_fd, -1
+        return fd
+
+    def close_segments(self) -> None:
         for segment in self.segments:
             if segment.fd >= 0:
                 fd, segment.fd = segment.fd, -1
                 self.files.close(fd)
-        self.files.unlock()
 
     # What can happen to a message. Nothing is on disk before `flush`.
 
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -6,12 +6,13 @@
 import logging
 import math
 import time
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import astuple, dataclass, field, replace
 from datetime import UTC, datetime
+from operator import itemgetter
 from typing import TYPE_CHECKING, Any
 
-from crowpier import Dispatcher
+from crowpier import Dispatcher, learned
 from crowpier import interface as api
 from crowpier.interface import Outcome, Settings, State
 from rushhitch.acknowledgements import ACKNOWLEDGED, UNKNOWN, Acknowledgement, Effect, Past, Verdict, effect
@@ -52,6 +53,18 @@
 RETRY_S = 0.25  # between two tries to write what a full disk did not take
 
 
+@dataclass(frozen=True, slots=True)
+class Loan:
+    """An attempt that the process before this one carries to its end; times by the clock that both have."""
+
+    message: int
+    attempt: int
+    endpoint: str
+    call: int
+    started: float
+    first_due: float
+
+
 @dataclass(slots=True, eq=False)
 class Message:
     """A message of this process; `answer` is there until its client has been answered."""
@@ -109,6 +122,10 @@
         self.zones = {zone: position for position, zone in enumerate(settings.zones)}
         self.entries: dict[str, api.Entry] = {}
         self.destinations: dict[int, float] = {}  # and when each last had an endpoint
+        self.listing: dict[str, dict[str, Any]] = {}  # its endpoints, in discovery's form
+        self.frozen = self.yielded = False  # sends nothing more; another process owns all
+        self.lent: dict[tuple[int, int], Loan] = {}  # attempts that an earlier process carries to their end
+        self.call_back: Callable[[int, int], None] = lambda message, attempt: None  # one of them
         self.left: dict[str, float] = {}  # endpoints that are no longer listed, and since when
         self.messages: dict[int, Message] = {}
         self.by_id: dict[bytes, Message] = {}
@@ -139,6 +156,8 @@
     # Events
 
     def note(self, event: api.Event) -> None:
+        if self.yielded:
+            return
         self.events.append(event)
         if not self.gathering:
             self.gathering = True
@@ -159,6 +178,7 @@
             gone |= self.entries.keys() - {entry.endpoint for entry in entries}
         now = self.loop.time()
         for name in gone:
+            self.listing.pop(name, None)
             if self.entries.pop(name, None) is not None:
                 self.left[name] = now
             self.endpoints.bar(name)
@@ -201,7 +221,7 @@
         lane = self.lane_of(entry)
         place = Place(parse_address(row["addr"]), lane, int(kind.batch), entry.state, codec)
         self.endpoints.place(entry.endpoint, place)
-        self.entries[entry.endpoint] = entry
+        self.entries[entry.endpoint], self.listing[entry.endpoint] = entry, row
         if self.counts is not None:
             self.counts.place(entry.endpoint, entry.destination, kind.apart)
         return entry
@@ -268,6 +288,9 @@
 
     def offer(self, offer: Offer, answer: Answer, ended: Answer | None = None) -> int:
         """A client hands a message in; it is answered at the end of the turn. `Taker` tells the rest."""
+        if self.yielded:
+            answer(Reply("refused", BUSY_MS))
+            return 0
         if offer.cls not in self.classes:
             raise BadRequest(f"unknown class {offer.cls[:40]!r}")
         if offer.left_ms > (most := self.settings.classes[self.classes[offer.cls]].deadline_ms):
@@ -362,10 +385,19 @@
             self.save()
             self.note(api.Withdrawn(message.number))
 
-    def resume(self) -> None:
-        """Take up what an earlier process left in the journal: its time and its attempts go on."""
-        for endpoint, pace_per_s in self.journal.cold.items():
-            self.note(api.Remembered(endpoint, pace_per_s))
+    def resume(self, known: Mapping[str, Any] | None = None, loans: Sequence[Loan] = ()) -> None:
+        """Take up what an earlier process left in the journal: its time and its attempts go on. One that
+        still ends its calls has told what it had learned, and what it has out."""
+        if known is not None:
+            self.note(api.Learned(known))
+        else:
+            for endpoint, pace_per_s in self.journal.cold.items():
+                self.note(api.Remembered(endpoint, pace_per_s))
+        lent: dict[int, list[Loan]] = {}
+        for loan in loans:
+            if loan.message in self.journal.live and loan.attempt in self.journal.live[loan.message].out:
+                lent.setdefault(loan.message, []).append(loan)
+                self.lent[loan.message, loan.attempt] = loan
         for kept in self.journal.messages():  # in the order of taking, which some classes keep
             if kept.notice is not None:
                 result, wait_ms = kept.notice
@@ -381,7 +413,10 @@
                 self.figures.ended(kept.cls, "failed")
                 continue
             message = self.enter(kept)
-            if kept.handed is not None and self.acknowledges(kept.destination) and not self.ordered(kept):
+            if kept.number in lent:
+                message.out |= {loan.attempt for loan in lent[kept.number]}
+                self.arrive(message, lent[kept.number])
+            elif kept.handed is not None and self.acknowledges(kept.destination) and not self.ordered(kept):
                 self.hand_over(message)
             else:
                 self.arrive(message)
@@ -389,10 +424,12 @@
         if self.events:
             self.turn()
 
-    def arrive(self, message: Message) -> None:
-        """Give the module a message that has had attempts, none of which is out."""
+    def arrive(self, message: Message, loans: Sequence[Loan] = ()) -> None:
+        """Give the module a message that has had attempts; those that are out are in an earlier process."""
         kept, now = message.kept, time.time()
-        ran, terms = kept.first_run, self.history.terms(kept.number, kept.cls)
+        terms, out = self.history.terms(kept.number, kept.cls), {loan.attempt for loan in loans}
+        runs = [where for attempt, where in kept.out.items() if attempt not in out]
+        ran = min([*runs, *([kept.ran] if kept.ran else [])], key=itemgetter(1), default=None)
         self.note(
             api.Arrived(
                 message.number,
@@ -405,6 +442,10 @@
                 ran_ago_ms=max((now - ran[1]) * 1000.0, 0.0) if ran else None,
                 ran_endpoint=ran[0] if ran else "",
                 terms=terms,
+                out=tuple(
+                    api.Lent(o.attempt, o.endpoint, o.call, (self.loop.time() - o.started) * 1000.0)
+                    for o in loans
+                ),
             )
         )
 
@@ -481,6 +522,72 @@
                 message.verdict = told.verdict
         self.save(lambda: answer(ACKNOWLEDGED), lambda: answer(Reply("refused", BUSY_MS)))
 
+    # Succession: another process goes on with all of it
+
+    async def freeze(self) -> bool:
+        """Send nothing more; what is not written whole is called back, and what came in is in the journal.
+        False where the disk does not take it: then nothing can be handed over."""
+        self.frozen = True
+        await self.endpoints.freeze()
+        self.turn()
+        await self.committer.quiet()
+        return not self.journal.unsaved
+
+    def yield_all(self, report: Callable[[Result], None]) -> tuple[int, dict[str, Any]]:
+        """Own nothing from now on but the calls that are out, whose results go to `report`. The descriptor
+        that holds the folder, and what the process needs that goes on."""
+        now = self.loop.time()
+        loans = [
+            Loan(message, attempt, call.endpoint, id(call), call.started, call.first_due)
+            for (message, attempt), call in self.endpoints.calls.items()
+        ]
+        told = {
+            "learned": learned.export(self.dispatcher),
+            "loans": [astuple(loan) for loan in loans],
+            "waits": [(lane, until) for lane, until in self.endpoints.waits.items() if until > now],
+            "servers": list(self.listing.values()),
+        }
+        self.yielded = True
+        self.endpoints.report = report
+        if self.reminder is not None:
+            self.reminder.cancel()
+        if self.retrying is not None:
+            self.retrying.cancel()
+        for message in self.messages.values():
+            if message.watchdog is not None:
+                message.watchdog.cancel()
+        return self.journal.hand_over(), told
+
+    def inherit_waits(self, waits: Sequence[tuple[int | str, float]]) -> None:
+        for lane, until in waits:
+            self.endpoints.waits[lane] = max(self.endpoints.waits.get(lane, 0.0), until)
+
+    def loan_ended(
+        self,
+        message: int,
+        attempt: int,
+        outcome: Outcome,
+        took_ms: float = 0.0,
+        wait_ms: float = 0.0,
+        over: bool = False,
+        later: bool = False,
+    ) -> None:
+        """The earlier process tells how one of its calls ended."""
+        loan, held = self.lent.pop((message, attempt), None), self.messages.get(message)
+        if loan is None or held is None:
+            return
+        if wait_ms and (place := self.endpoints.places.get(loan.endpoint)) is not None:
+            self.inherit_waits([(place.lane, self.loop.time() + wait_ms / 1000.0)])
+        kept = held.kept
+        words = (kept.id, kept.body, held.due, held.due, kept.cls, kept.attributes, kept.deadline)
+        result = Result(Attempt(message, attempt, *words), loan.endpoint, outcome, took_ms, wait_ms, over)
+        self.attempt_ended(replace(result, first_due=loan.first_due, later=later))
+
+    def lose_loans(self) -> None:
+        """The earlier process has died: what it had out may have run."""
+        for message, attempt in list(self.lent):
+            self.loan_ended(message, attempt, Outcome.RESET)
+
     def leaving(self, at: float) -> None:
         """The process ends at that time of the event loop's clock."""
         self.note(api.Leaving((at - self.loop.time()) * 1000.0))
@@ -645,6 +752,8 @@
 
     def act(self, action: api.Action, sends: dict[str, list[Attempt]]) -> None:
         match action:
+            case api.Send() if self.frozen:
+                pass  # the process that goes on decides anew
             case api.Send(number, endpoint, stop_at_ms):
                 message = self.messages[number]
                 kept, attempt = message.kept, message.attempts
@@ -675,6 +784,8 @@
                         self.take_back(held)
                     cancelled = replace(result, outcome=Outcome.CANCELLED, over=False, later=False)
                     self.attempt_ended(cancelled)
+                elif (number, attempt) in self.lent:
+                    self.call_back(number, attempt)
                 else:
                     self.endpoints.cancel(number, attempt)
             case api.Remind(in_ms, token):
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -7,28 +7,42 @@
 import os
 import random
 import signal
+import socket
+from collections.abc import Callable, Mapping
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from crowpier import Dispatcher
-from crowpier.interface import Settings
+from crowpier.interface import Outcome, Settings
 from rushhitch.config.history import History, lacking
 from rushhitch.config.own import MODES, Own
-from rushhitch.config.platform import BadConfiguration, Configuration, read_configuration
+from rushhitch.config.platform import (
+    BadConfiguration,
+    BadFile,
+    Configuration,
+    configuration_of,
+    read_configuration,
+)
 from rushhitch.control.bans import Bans
 from rushhitch.control.server import Control
-from rushhitch.control.words import Refused
+from rushhitch.control.words import TAKES_ID, BadCommand, Refused, answer, parse
 from rushhitch.discovery import Notices, Platform, Watch
+from rushhitch.figures import Figures
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
-from rushhitch.journal import Journal, JournalError, Sync
-from rushhitch.journal.side import Side
-from rushhitch.node import Node, with_singles
+from rushhitch.journal import Journal
+from rushhitch.journal.side import Side, unsealed
+from rushhitch.node import Loan, Node, with_singles
 from rushhitch.partners.codec import Codec
 from rushhitch.planning.counts import LaneCounts
+from rushhitch.succession.handover import Handover
+from rushhitch.succession.states import Do
+from rushhitch.succession.takeover import Inheritance, Passed, Takeover
 
 if TYPE_CHECKING:
     from rushhitch.cloudevents.sinks import Sinks
     from rushhitch.partners.handshake import Handshake
+    from rushhitch.planning.client import PlannerClient
 
 log = logging.getLogger("rushhitch")
 
@@ -46,97 +60,193 @@
     """Run the dispatcher until SIGTERM or SIGINT, then for a little longer. A forwarder is a dispatcher that
     reports to planners and heeds what they grant."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
+    stop, changed = asyncio.Event(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    changed = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, changed.set)
-    try:
-        journal = Journal(configuration.state, configuration.disk_bytes, Sync(configuration.own.sync))
-        bans, kept = Bans(journal), KeptSettings(journal)
-    except (OSError, JournalError) as error:
-        raise BadConfiguration(f"ROUTER_STATE: {error}") from None
-    most_clients = int(CLIENT_SHARE * configuration.sockets) + SPARE_CLIENTS
-    notices = Notices(configuration.discovery, lambda number: node.notice_heard(number))
-    spoken = codecs(configuration.own)
-    check_classes(configuration)
-    settings = in_force(configuration)
-    node = Node(
-        settings,
-        Dispatcher(settings, configuration.seed),
-        journal,
-        notices.add,
-        configuration.sockets - most_clients - OWN_FILES,
-        spoken,
-        configuration.own.events.remember_s if configuration.own.events is not None else 0.0,
-        bans,
-        kept.history,
-    )
-    kept.take(configuration, node)
-    handshake = make_handshake(node, configuration.own)
-    node.sinks = make_sinks(configuration)
-    planners = None
-    if forward:
-        from rushhitch.planning.client import PlannerClient  # with its libraries: only where it is on
-
-        node.counts = LaneCounts([cls.worth for cls in configuration.settings.classes])
-        own, name = configuration.own, configuration.name
-        planners = PlannerClient(name, dict(own.planners), own.secret, node.collect, node.guided)
-    node.listed(configuration.known, cached=True)
-    node.resume()
-    watch = Watch(
-        configuration.discovery,
-        configuration.known["version"],
-        node.listed,
-        random.Random(configuration.seed),
-        dispatchers=configuration.settings.dispatchers,
-    )
-    platform = Platform(watch, notices)
-    platform.start()
-    if planners is not None:
-        planners.start()
-    if handshake is not None:
-        handshake.start()
-    reloading = loop.create_task(reload(changed, configuration, node, kept, platform))
-    clients = Clients(node, most_clients, int(BEGUN_SHARE * configuration.memory_bytes))
-    try:
-        await clients.listen(configuration.listen, Resp2)
-    except OSError as error:
-        raise BadConfiguration(f"ROUTER_LISTEN: {error}") from None
-    desk = Desk(node)
+    desk = Desk()
     control = await open_control(desk, configuration)
-    if configuration.own.events is not None and configuration.own.events.listen is not None:
-        await listen_for_events(clients, configuration, node.sinks)
-    desk.ready = True
-    log.info(
-        "%s is ready on %s:%d, %d messages resumed", configuration.name, *clients.address, len(node.by_id)
-    )
-    await stop.wait()
-    leave_at = loop.time() + LEAVE_S
-    desk.ready = False
-    log.info("%s is leaving, %d messages held", configuration.name, len(node.by_id))
-    node.leaving(leave_at)
-    await asyncio.sleep(ACCEPT_S)
-    clients.stop_listening()
-    await asyncio.sleep(FINISH_S - ACCEPT_S)
-    clients.finish()
+    takeover = Takeover(configuration, desk.promised)
+    desk.relay = takeover.relay
+    inheriting = loop.create_task(takeover.inherit())
+    stopped = loop.create_task(stop.wait())
+    await asyncio.wait((inheriting, stopped), return_when=asyncio.FIRST_COMPLETED)
+    if not inheriting.done():
+        inheriting.cancel()
+        takeover.give_up()
+        log.info("%s ends before it has taken over", configuration.name)
+        return
+    inheritance = inheriting.result()
+    if inheritance.listeners:  # the file may have changed since it was read
+        configuration = configuration_in_force(os.environ)
+    service = Service(configuration, inheritance, desk, forward)
     try:
-        async with asyncio.timeout_at(leave_at):
-            await node.idle.wait()
-            await notices.empty.wait()
-    except TimeoutError:
-        pass
-    log.info("%s ends, %d messages stay in the journal", configuration.name, len(journal.live))
-    reloading.cancel()
-    if control is not None:
-        control.stop()
-    platform.stop()
-    if planners is not None:
-        planners.stop()
-    if handshake is not None:
-        handshake.stop()
-    node.committer.close()
-    journal.close()
+        service.start(takeover, changed)
+        await stop.wait()
+        await service.end()
+    finally:
+        service.close()
+        if control is not None:
+            control.stop()
+
+
+class Service:
+    """One dispatcher at work, wired together: from a folder that it owns to the end."""
+
+    def __init__(
+        self, configuration: Configuration, inheritance: Inheritance, desk: Desk, forward: bool
+    ) -> None:
+        self.configuration, self.inheritance, self.desk = configuration, inheritance, desk
+        self.loop = asyncio.get_running_loop()
+        self.journal = journal = inheritance.journal
+        bans, kept = Bans(journal), KeptSettings(journal)
+        most_clients = int(CLIENT_SHARE * configuration.sockets) + SPARE_CLIENTS
+        self.notices = Notices(configuration.discovery, lambda number: node.notice_heard(number))
+        spoken = codecs(configuration.own)
+        check_classes(configuration)
+        settings = in_force(configuration)
+        self.node = node = Node(
+            settings,
+            Dispatcher(settings, configuration.seed),
+            journal,
+            self.notices.add,
+            configuration.sockets - most_clients - OWN_FILES,
+            spoken,
+            configuration.own.events.remember_s if configuration.own.events is not None else 0.0,
+            bans,
+            kept.history,
+        )
+        kept.take(configuration, node)
+        self.kept = kept
+        self.handshake = make_handshake(node, configuration.own)
+        node.sinks = make_sinks(configuration)
+        self.planners = make_planners(node, configuration) if forward else None
+        self.clients = Clients(node, most_clients, int(BEGUN_SHARE * configuration.memory_bytes))
+        known = configuration.known
+        if inheritance.told is not None:
+            known = {name: inheritance.told[name] for name in ("version", "servers")} | {"full": True}
+        node.listed(known, cached=True)
+        self.watch = Watch(
+            configuration.discovery,
+            known["version"],
+            node.listed,
+            random.Random(configuration.seed),
+            dispatchers=configuration.settings.dispatchers,
+        )
+        self.platform = Platform(self.watch, self.notices)
+        operate = desk.own(node)
+        self.handover = Handover(configuration.state, node, self.clients, lambda: self.watch.version, operate)
+        self.reloading: asyncio.Task[None] | None = None
+
+    def start(self, takeover: Takeover, changed: asyncio.Event) -> None:
+        """Go on with what is there, and take what comes."""
+        configuration, node, told = self.configuration, self.node, self.inheritance.told
+        if told is not None:
+            node.inherit_waits(told["waits"])
+            node.resume(told["learned"], [Loan(*loan) for loan in told["loans"]])
+        else:
+            node.resume()
+        self.platform.start()
+        if self.planners is not None:
+            self.planners.start()
+        if self.handshake is not None:
+            self.handshake.start()
+        self.reloading = self.loop.create_task(reload(changed, configuration, node, self.kept, self.platform))
+        listeners = self.inheritance.listeners
+        try:
+            self.clients.listen(configuration.listen, Resp2.name, Resp2, listeners.pop(Resp2.name, None))
+        except OSError as error:
+            raise BadConfiguration(f"ROUTER_LISTEN: {error}") from None
+        if configuration.own.events is not None and configuration.own.events.listen is not None:
+            listen_for_events(self.clients, configuration, node.sinks, listeners.pop("cloudevents", None))
+        for listener in listeners.values():  # of fronts that are off now
+            listener.close()
+        self.take_over(takeover)
+        if configuration.control is not None:
+            self.handover.start()
+        self.desk.ready = True
+        log.info(
+            "%s is ready on %s:%d, %d messages resumed",
+            configuration.name,
+            *self.clients.address,
+            len(node.by_id),
+        )
+
+    def take_over(self, takeover: Takeover) -> None:
+        """What the process before this one still tells: connections, and how its calls end."""
+        node = self.node
+
+        def adopt(passed: Passed) -> None:
+            words = (passed.front, passed.tail, passed.asked, passed.heard_at)
+            self.clients.adopt(passed.sock, *words)
+
+        def ended(told: dict[str, Any]) -> None:
+            node.loan_ended(
+                int(told["message"]),
+                int(told["attempt"]),
+                Outcome(told["outcome"]),
+                told["took_ms"],
+                told["wait_ms"],
+                told["over"],
+                told["later"],
+            )
+
+        takeover.adopt, takeover.ended, takeover.dead = adopt, ended, node.lose_loans
+        takeover.operate, node.call_back = self.handover.operate, takeover.call_back
+        takeover.go_on()
+
+    async def end(self) -> None:
+        """After SIGTERM: hand over, where a successor is ready, or leave."""
+        leave_at = self.loop.time() + LEAVE_S
+        self.desk.ready = False
+        if self.handover.incumbent.told_to_end() is Do.YIELD:
+            log.info("%s hands over, %d messages held", self.configuration.name, len(self.node.by_id))
+            self.desk.relay, self.desk.node = self.handover.relay, self.node
+            self.platform.stop()
+            if await self.handover.hand_over(leave_at):
+                self.clients.stop_listening()
+                return
+            self.platform.start()
+        await self.leave(leave_at)
+
+    async def leave(self, leave_at: float) -> None:
+        """End without a successor: clients go elsewhere, what is not over stays in the journal."""
+        node, clients = self.node, self.clients
+        log.info("%s is leaving, %d messages held", self.configuration.name, len(node.by_id))
+        node.leaving(leave_at)
+        await asyncio.sleep(ACCEPT_S)
+        clients.stop_listening()
+        await asyncio.sleep(FINISH_S - ACCEPT_S)
+        clients.finish()
+        try:
+            async with asyncio.timeout_at(leave_at):
+                await node.idle.wait()
+                await self.notices.empty.wait()
+        except TimeoutError:
+            pass
+        held = len(self.journal.live)
+        log.info("%s ends, %d messages stay in the journal", self.configuration.name, held)
+
+    def close(self) -> None:
+        if self.reloading is not None:
+            self.reloading.cancel()
+        self.handover.stop()
+        self.platform.stop()
+        if self.planners is not None:
+            self.planners.stop()
+        if self.handshake is not None:
+            self.handshake.stop()
+        self.node.committer.close()
+        self.journal.close()
+
+
+def make_planners(node: Node, configuration: Configuration) -> PlannerClient:
+    """The forwarder's part: it counts, reports and is guided."""
+    from rushhitch.planning.client import PlannerClient  # with its libraries: only where it is on
+
+    node.counts = LaneCounts([cls.worth for cls in configuration.settings.classes])
+    own, name = configuration.own, configuration.name
+    return PlannerClient(name, dict(own.planners), own.secret, node.collect, node.guided)
 
 
 def codecs(own: Own) -> dict[int, Codec]:
@@ -180,11 +290,13 @@
     return Sinks(told.destinations, told.cls, events.source, told.attribute, told.kind)
 
 
-async def listen_for_events(clients: Clients, configuration: Configuration, sinks: Sinks | None) -> None:
+def listen_for_events(
+    clients: Clients, configuration: Configuration, sinks: Sinks | None, passed: socket.socket | None = None
+) -> None:
     """The CloudEvents front, beside RESP2 and within the same bounds."""
     from rushhitch.acknowledgements import Verdict
     from rushhitch.cloudevents.mapping import Acks, Rules  # with its library: only where it is on
-    from rushhitch.fronts.cloudevents import front
+    from rushhitch.fronts.cloudevents import CloudEvents, front
 
     events = configuration.own.events
     assert events is not None and events.listen is not None, "asked for only where it is set"
@@ -196,7 +308,7 @@
     more = (events.usual_ms, acks, sinks)
     rules = Rules(events.types, most_ms, events.destination, events.destinations, *more)
     try:
-        address = await clients.listen(events.listen, front(rules))
+        address = clients.listen(events.listen, CloudEvents.name, front(rules), passed)
     except OSError as error:
         raise BadConfiguration(f"[cloudevents] listen: {error}") from None
     log.info("CloudEvents are taken on %s:%d", *address)
@@ -251,6 +363,23 @@
             )
 
 
+def configuration_in_force(environ: Mapping[str, str]) -> Configuration:
+    """What the file says, or, while it makes no sense, what the last one said that did."""
+    try:
+        return read_configuration(environ)
+    except BadFile as error:
+        try:
+            content = unsealed((Path(environ["ROUTER_STATE"]) / SETTINGS).read_bytes())
+            told = History.read(content).file()
+            if told is None:
+                raise error
+            configuration = configuration_of(told, environ, f"the last good one, in {SETTINGS}")
+        except (OSError, ValueError):
+            raise error from None
+        log.error("the last good configuration is used: %s", error)
+        return configuration
+
+
 class KeptSettings:
     """The history of settings in its file: what messages were taken under outlasts the process."""
 
@@ -279,22 +408,49 @@
 
 
 class Desk:
-    """What the control address stands for in this process."""
-
-    def __init__(self, node: Node) -> None:
-        self.node, self.ready = node, False
+    """What the control address stands for in this process: an owner of all, or one that waits to be, or one
+    that has handed over. Bans are the owner's to answer; the other passes them on."""
+
+    def __init__(self) -> None:
+        self.node: Node | None = None
+        self.ready = False
+        self.known = (0, 0)  # endpoints listed and avoided, as the owner told
+        self.relay: Callable[[bytes], asyncio.Future[bytes]] | None = None
+
+    def promised(self, listed: int, down: int) -> None:
+        """This process takes over as soon as the one before it is told to end."""
+        self.ready, self.known = True, (listed, down)
+
+    def own(self, node: Node) -> Callable[[bytes], bytes]:
+        """From now on this process owns all; gives what carries out a word that another was told."""
+        self.node, self.relay = node, None
+        return lambda line: answer(line, self)
+
+    def answer(self, line: bytes) -> bytes | asyncio.Future[bytes]:
+        if self.relay is not None:
+            try:
+                passes_on = TAKES_ID[parse(line).word]
+            except BadCommand:
+                passes_on = False  # it is refused here
+            if passes_on:
+                return self.relay(line)
+        return answer(line, self)
 
     def ping(self) -> None:
         if not self.ready:
             raise Refused("not ready: it takes no messages now")
 
     def info(self) -> dict[str, Any]:
-        return self.node.info()
+        return Figures().report(0, 0, *self.known) if self.node is None else self.node.info()
 
     def detach(self, endpoint: str) -> None:
+        if self.node is None:
+            raise Refused("not ready")
         self.node.detach(endpoint)
 
     def attach(self, endpoint: str) -> None:
+        if self.node is None:
+            raise Refused("not ready")
         self.node.attach(endpoint)
 
 
@@ -302,7 +458,7 @@
     """The operators' address, where there is one."""
     if configuration.control is None:
         return None
-    control = Control(desk)
+    control = Control(desk.answer)
     try:
         address = await control.listen(configuration.control)
     except OSError as error:
--- /dev/null
+++ b/rushhitch/succession/takeover.py
@@ -0,0 +1,227 @@
+"""The new process's side of an upgrade: finds the folder held, makes itself ready, takes all over."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from rushhitch.config.platform import BadConfiguration, Configuration
+from rushhitch.journal import Held, Journal, JournalError, Sync
+from rushhitch.journal.files import Files
+from rushhitch.succession import channel as channels
+from rushhitch.succession.channel import Channel
+from rushhitch.succession.states import VERSION, Do, New, Successor
+
+log = logging.getLogger(__name__)
+
+TRY_S = 0.1  # between two looks whether a held folder has become free
+ANSWER_S = 2.0  # the holder answers by then, or is waited for
+
+
+@dataclass(slots=True)
+class Passed:
+    """A client's connection, and what was read of its next request."""
+
+    sock: socket.socket
+    front: str
+    tail: bytes
+    asked: bool
+    heard_at: float
+
+
+@dataclass(slots=True)
+class Inheritance:
+    """What this process starts from: its folder, and what another has handed over, if one has."""
+
+    journal: Journal
+    listeners: dict[str, socket.socket] = field(default_factory=dict)  # by front
+    told: dict[str, Any] | None = None  # the old one's word at the handover
+
+
+class Takeover:
+    """One upgrade, seen from the new process. After `inherit` the owner sets `adopt`, `ended` and `dead`, and
+    calls `go_on`: what came meanwhile follows in order."""
+
+    def __init__(self, configuration: Configuration, ready: Callable[[int, int], None]) -> None:
+        self.configuration, self.say_ready = configuration, ready
+        self.loop = asyncio.get_running_loop()
+        self.successor = Successor()
+        self.channel: Channel | None = None
+        self.news: asyncio.Queue[tuple[dict[str, Any], list[int]] | None] = asyncio.Queue()
+        self.following = False  # the owner hears of clients and calls
+        self.early: list[tuple[dict[str, Any], list[int]] | None] = []
+        self.asked: dict[int, asyncio.Future[bytes]] = {}
+        self.asks = 0
+        self.adopt: Callable[[Passed], None] = lambda passed: passed.sock.close()
+        self.ended: Callable[[dict[str, Any]], None] = lambda told: None
+        self.dead: Callable[[], None] = lambda: None
+        self.operate: Callable[[bytes], bytes] = lambda line: b"NAK not ready\n"
+
+    async def inherit(self) -> Inheritance:
+        """Until this process owns the folder. Raises `BadConfiguration` where it never will."""
+        waiting = False
+        while True:
+            if (journal := self.take_folder()) is not None:
+                self.successor.folder_free()
+                return Inheritance(journal)
+            if await self.join() is Do.PREPARE:
+                return await self.prepared()
+            if not waiting:
+                log.warning("the folder is held, and its holder hands nothing over: waiting for its end")
+                waiting = True
+            await asyncio.sleep(TRY_S)
+
+    def take_folder(self, lock: int = -1) -> Journal | None:
+        """The journal; None while another process holds the folder."""
+        told = self.configuration
+        files = Files(told.state)
+        files.lock_fd = lock
+        try:
+            return Journal(told.state, told.disk_bytes, Sync(told.own.sync), files)
+        except Held as error:
+            if told.control is None:  # no upgrades here: a mistake
+                raise BadConfiguration(f"ROUTER_STATE: {error}") from None
+            return None
+        except (OSError, JournalError) as error:
+            raise BadConfiguration(f"ROUTER_STATE: {error}") from None
+
+    async def join(self) -> Do:
+        """Ask the holder to hand over."""
+        try:
+            sock = channels.connect(self.configuration.state)
+        except OSError:
+            return Do.WAIT
+        self.channel = channel = Channel(sock, self.heard, lambda: self.news.put_nowait(None))
+        channel.send({"t": "hello", "version": VERSION, "pid": os.getpid()})
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                news = await self.news.get()
+        except TimeoutError:
+            news = None
+        told, fds = news or ({}, [])
+        if told.get("t") == "welcome":
+            do = self.successor.welcomed(told.get("version"))
+            if do is Do.PREPARE:
+                self.welcome = told
+                self.listeners = {
+                    front: socket.socket(fileno=fd) for front, fd in zip(told["fronts"], fds, strict=False)
+                }
+                return do
+        elif told.get("t") == "no":
+            do = self.successor.refused(bool(told.get("busy")))
+            if do is Do.GIVE_UP:
+                channel.close()
+                raise BadConfiguration("ROUTER_STATE: another upgrade is under way: wait for its end")
+        else:
+            do = Do.WAIT
+        channels.close_all(fds)
+        channel.close()
+        while not self.news.empty() or channel.open:
+            self.news.get_nowait()
+        self.news = asyncio.Queue()
+        return do
+
+    async def prepared(self) -> Inheritance:
+        """Tell the holder and operators that this process is ready, and wait for the handover, or for the
+        holder's death."""
+        assert self.channel is not None, "there is a holder"
+        self.successor.prepared()
+        self.channel.send({"t": "ready"})
+        self.say_ready(int(self.welcome["listed"]), int(self.welcome["down"]))
+        log.info("ready to take over")
+        while (news := await self.news.get()) is not None:
+            told, fds = news
+            if told.get("t") == "yield" and self.successor.yielded() is Do.TAKE:
+                journal = self.take_folder(fds[0])
+                assert journal is not None, "its lock was handed over"
+                return Inheritance(journal, self.listeners, told)
+            channels.close_all(fds)
+        self.successor.lost()
+        log.warning("the process before this one has gone without handing over: its folder is taken up")
+        while (journal := self.take_folder()) is None:
+            await asyncio.sleep(TRY_S / 10.0)
+        return Inheritance(journal, self.listeners)
+
+    def heard(self, told: dict[str, Any], fds: list[int]) -> None:
+        if told.get("t") == "said":
+            channels.close_all(fds)
+            if (future := self.asked.pop(told["n"], None)) is not None and not future.done():
+                future.set_result(str(told["text"]).encode())
+        elif self.following:
+            self.follow(told, fds)
+        else:
+            self.news.put_nowait((told, fds))
+
+    def follow(self, told: dict[str, Any], fds: list[int]) -> None:
+        """What comes after the handover."""
+        word = told.get("t")
+        if word == "client" and fds:
+            sock = socket.socket(fileno=fds[0])
+            self.adopt(
+                Passed(
+                    sock,
+                    str(told["front"]),
+                    str(told["tail"]).encode("latin-1"),
+                    bool(told["asked"]),
+                    float(told["heard_at"]),
+                )
+            )
+            return
+        channels.close_all(fds)
+        if word == "ended":
+            self.ended(told)
+        elif word == "ask" and self.channel is not None:
+            said = self.operate(str(told["line"]).encode())
+            self.channel.send({"t": "said", "n": told["n"], "text": said.decode()})
+
+    def go_on(self) -> None:
+        """The owner hears of all that comes from now on, and of what has come."""
+        self.successor.taken()
+        self.following = True
+        if self.channel is None:
+            return
+        over = False
+        while not self.news.empty():
+            news = self.news.get_nowait()
+            if news is None:
+                over = True
+            else:
+                self.follow(*news)
+        self.channel.lost = self.lost
+        if over or not self.channel.open:
+            self.lost()
+
+    def lost(self) -> None:
+        """The old one has ended: what it had out and has not told of may have run."""
+        self.channel = None
+        if self.successor.lost() is Do.LOSE_CALLS:
+            self.dead()
+
+    def call_back(self, message: int, attempt: int) -> None:
+        if self.channel is not None:
+            self.channel.send({"t": "cancel", "message": message, "attempt": attempt})
+
+    def relay(self, line: bytes) -> asyncio.Future[bytes]:
+        """An operator's word for the process that owns all still."""
+        self.asks += 1
+        future: asyncio.Future[bytes] = self.loop.create_future()
+        if self.channel is None or not self.channel.open:
+            future.set_result(b"NAK the process that serves has gone\n")
+            return future
+        self.asked[self.asks] = future
+        self.channel.send({"t": "ask", "n": self.asks, "line": line.decode("ascii", "replace")})
+        return future
+
+    def give_up(self) -> None:
+        """This process ends before it has taken over; the old one serves on."""
+        if self.channel is not None:
+            self.channel.close()
+
+    @property
+    def owns(self) -> bool:
+        return self.successor.state in (New.TAKING, New.SERVING)
--- a/tests/test_acknowledgements.py
+++ b/tests/test_acknowledgements.py
@@ -139,8 +139,8 @@
         node.codecs = {7: CloudEvents("binary", "/rushhitch", {}, acknowledged=True)}
         node.listed({"version": 42, "full": False, "servers": [self.row]})
         self.clients = Clients(node, 16)
-        self.http = await self.clients.listen(("127.0.0.1", 0), front(WITH_ACKS))
-        self.resp2 = await self.clients.listen(("127.0.0.1", 0), Resp2)
+        self.http = self.clients.listen(("127.0.0.1", 0), "cloudevents", front(WITH_ACKS))
+        self.resp2 = self.clients.listen(("127.0.0.1", 0), "resp2", Resp2)
 
     async def restart(self, folder):
         """The process was killed; the next one takes up its journal."""
--- a/tests/test_cloudevents_sinks.py
+++ b/tests/test_cloudevents_sinks.py
@@ -56,7 +56,7 @@
         node.codecs = {9: CloudEvents("structured", "/rushhitch", {})}
         node.listed({"version": 42, "full": False, "servers": [self.row, self.sink_row]})
         self.clients = Clients(node, 16)
-        self.http = await self.clients.listen(("127.0.0.1", 0), front(WITH_SINKS))
+        self.http = self.clients.listen(("127.0.0.1", 0), "cloudevents", front(WITH_SINKS))
 
     async def restart(self, folder):
         self.clients.stop_listening()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -85,7 +85,7 @@
 
 def test_callers_that_say_nothing_do_not_shut_out_one_that_asks():
     async def work():
-        control = Control(Recorder())
+        control = Control(lambda data: answer(data, Recorder()))
         address = await control.listen(("127.0.0.1", 0))
         silent = [await asyncio.open_connection(*address) for _ in range(3 * control_server.MOST_CALLERS)]
         assert await asyncio.wait_for(call(address, b"PING\n"), 1.0) == b"ACK\n"
@@ -101,7 +101,7 @@
     monkeypatch.setattr(control_server, "CALL_S", 0.05)
 
     async def work():
-        control = Control(Recorder())
+        control = Control(lambda data: answer(data, Recorder()))
         address = await control.listen(("127.0.0.1", 0))
         assert await asyncio.wait_for(call(address, b"PI"), 5.0) == b""
         assert not control.callers
@@ -116,7 +116,7 @@
             raise RuntimeError("broken")
 
     async def work():
-        control = Control(Broken())
+        control = Control(lambda data: answer(data, Broken()))
         address = await control.listen(("127.0.0.1", 0))
         assert (await call(address, b"PING\n")).startswith(b"NAK ")
         control.stop()
--- a/tests/test_fronts_cloudevents.py
+++ b/tests/test_fronts_cloudevents.py
@@ -32,8 +32,8 @@
         self.core = await Bench().start(folder)
         self.partner, self.node = self.core.partner, self.core.node
         self.clients = Clients(self.node, most, most_begun)
-        self.http = await self.clients.listen(("127.0.0.1", 0), front(RULES))
-        self.resp2 = await self.clients.listen(("127.0.0.1", 0), Resp2)
+        self.http = self.clients.listen(("127.0.0.1", 0), "cloudevents", front(RULES))
+        self.resp2 = self.clients.listen(("127.0.0.1", 0), "resp2", Resp2)
         return self
 
     async def connect(self):
@@ -367,7 +367,7 @@
         front.node.listed({"version": 42, "full": True, "servers": [front.core.row]})
         front.node.resume()
         front.clients = Clients(front.node, 16)
-        front.http = await front.clients.listen(("127.0.0.1", 0), front_of(RULES))
+        front.http = front.clients.listen(("127.0.0.1", 0), "cloudevents", front_of(RULES))
         client = await front.connect()
         client.binary(more={"Prefer": "wait=30"})
         (await front.partner.next()).answer(200)
--- a/tests/test_fronts_resp2.py
+++ b/tests/test_fronts_resp2.py
@@ -36,7 +36,7 @@
         async def work():
             taker = Taker()
             server = Clients(taker, most)
-            await server.listen(("127.0.0.1", 0), Resp2)
+            server.listen(("127.0.0.1", 0), "resp2", Resp2)
             await test(server, taker)
 
         run(work())
--- a/tests/test_protocols.py
+++ b/tests/test_protocols.py
@@ -124,8 +124,8 @@
         node.listed({"version": 42, "full": False, "servers": [bench.row]})
     clients = Clients(node, 16)
     addresses = [
-        await clients.listen(("127.0.0.1", 0), Resp2),
-        await clients.listen(("127.0.0.1", 0), front(RULES)),
+        clients.listen(("127.0.0.1", 0), "resp2", Resp2),
+        clients.listen(("127.0.0.1", 0), "cloudevents", front(RULES)),
     ]
     try:
         await hand_in(way, clients, addresses, cls, b"hello")
@@ -184,7 +184,7 @@
         bench.node.codecs = {7: CloudEvents("binary", "/rushhitch", {})}
         bench.node.listed({"version": 42, "full": False, "servers": [bench.row]})
         clients = Clients(bench.node, 16)
-        address = await clients.listen(("127.0.0.1", 0), Resp2)
+        address = clients.listen(("127.0.0.1", 0), "resp2", Resp2)
         client = Client(*await asyncio.open_connection(*address))
         assert await client.add(b"m1", "pay", 24_000, b"hello") == b"+OK\r\n"
         for attempt in range(bench.node.settings.max_attempts):
