--- a/rushhitch/journal/store.py
+++ b/rushhitch/journal/store.py
@@ -111,7 +111,8 @@
 
 class Journal:
     """What is live (`live`, by number; `cold`, by endpoint) and the files from which a later process learns
-    the same. `disk_bytes` is what the folder may hold. A `JournalError` where the folder cannot be used: it
+    the same. `disk_bytes` is what the folder may hold; `lock`, a descriptor by which another process has held
+    the folder for us. A `JournalError` where the folder cannot be used: it
     is held by another process, or of a newer version; an `OSError` where the disk fails."""
 
     def __init__(
@@ -122,8 +123,11 @@
         files: Files | None = None,
         clock: Callable[[], float] = time.monotonic,
         writable: bool = True,
+        lock: int = -1,
     ) -> None:
         self.files = files or Files(folder)
+        if lock >= 0:
+            self.files.lock_fd = lock
         self.space, self.sync, self.clock = Space(disk_bytes), sync, clock
         self.live: dict[int, Kept] = {}
         self.cold: dict[str, float] = {}  # endpoints in or after an outage, and the pace they took before
--- a/rushhitch/succession/takeover.py
+++ b/rushhitch/succession/takeover.py
@@ -12,7 +12,6 @@
 
 from rushhitch.config.platform import BadConfiguration, Configuration
 from rushhitch.journal import Held, Journal, JournalError, Sync
-from rushhitch.journal.files import Files
 from rushhitch.succession import channel as channels
 from rushhitch.succession.channel import Channel
 from rushhitch.succession.states import VERSION, Do, New, Successor
@@ -79,10 +78,8 @@
     def take_folder(self, lock: int = -1) -> Journal | None:
         """The journal; None while another process holds the folder."""
         told = self.configuration
-        files = Files(told.state)
-        files.lock_fd = lock
         try:
-            return Journal(told.state, told.disk_bytes, Sync(told.own.sync), files)
+            return Journal(told.state, told.disk_bytes, Sync(told.own.sync), lock=lock)
         except Held as error:
             if told.control is None:  # no upgrades here: a mistake
                 raise BadConfiguration(f"ROUTER_STATE: {error}") from None
