An upgrade's yes waits for the old process's promise: SIGTERM could overtake our word

Where the old one is busy, SIGTERM and the word reach it in one turn of its loop, and SIGTERM may be handled first: it then leaves as without a successor. Change: the old one answers 'promised', and only then do operators hear yes (states.py, handover.py, takeover.py). The stateful test has the promise on its way as a message of its own, and fails without the change.

--- a/rushhitch/succession/handover.py
+++ b/rushhitch/succession/handover.py
@@ -90,8 +90,9 @@
         elif channel is not self.channel:
             log.warning("succession: %r from a process that is no successor", word)
         elif word == "ready":
-            self.incumbent.ready()
-            log.info("a successor is ready: SIGTERM hands over to it")
+            if self.incumbent.ready() is Do.PROMISE:
+                channel.send({"t": "promised"})
+                log.info("a successor is ready: SIGTERM hands over to it")
         elif word == "ask":
             said = self.operate(str(told["line"]).encode())
             channel.send({"t": "said", "n": told["n"], "text": said.decode()})
--- a/rushhitch/succession/states.py
+++ b/rushhitch/succession/states.py
@@ -27,7 +27,8 @@
 
     SEEKING = auto()  # is the folder free?
     PREPARING = auto()  # it is held, and its holder has answered
-    READY = auto()
+    ASKING = auto()  # it can take over, and the old one has yet to promise to hand over
+    READY = auto()  # operators hear yes: SIGTERM to the old one hands over
     TAKING = auto()  # owns all from now on, and takes it up
     SERVING = auto()
     REFUSED = auto()
@@ -42,7 +43,9 @@
     LEAVE = auto()  # the old: end as without a successor
     END = auto()  # the old: nothing is left to do here
     PREPARE = auto()  # the new: with what the old has told
-    SAY_READY = auto()  # the new: to the old and to operators
+    ASK = auto()  # the new: for the old one's promise
+    SAY_READY = auto()  # the new: to operators
+    PROMISE = auto()  # the old: SIGTERM hands over from now on
     TAKE = auto()  # the new: what was handed over
     TAKE_LOCK = auto()  # the new: the old has died without a word; its folder is free
     LOSE_CALLS = auto()  # the new: calls out at the old may have run, nobody will know
@@ -63,9 +66,11 @@
         self.state = Old.OFFERING
         return Do.WELCOME
 
-    def ready(self) -> None:
-        if self.state is Old.OFFERING:
-            self.state = Old.PROMISED
+    def ready(self) -> Do | None:
+        if self.state is not Old.OFFERING:
+            return None
+        self.state = Old.PROMISED
+        return Do.PROMISE
 
     def lost(self) -> Do | None:
         """The channel to the successor has ended. Before SIGTERM nothing was given away."""
@@ -124,12 +129,20 @@
     def prepared(self) -> Do | None:
         if self.state is not New.PREPARING:
             return None
+        self.state = New.ASKING
+        return Do.ASK
+
+    def promised(self) -> Do | None:
+        """The old one has heard. Guards against a yes after which SIGTERM reaches the old one before our
+        word does: it would end as without a successor."""
+        if self.state is not New.ASKING:
+            return None
         self.state = New.READY
         return Do.SAY_READY
 
     def yielded(self) -> Do | None:
         """The old one has handed over."""
-        if self.state is not New.READY:
+        if self.state not in (New.ASKING, New.READY):
             return None
         self.state = New.TAKING
         return Do.TAKE
@@ -140,7 +153,7 @@
 
     def lost(self) -> Do | None:
         """The channel to the old one has ended."""
-        if self.state in (New.PREPARING, New.READY):
+        if self.state in (New.PREPARING, New.ASKING, New.READY):
             self.state = New.TAKING
             return Do.TAKE_LOCK
         if self.state in (New.TAKING, New.SERVING):
--- a/rushhitch/succession/takeover.py
+++ b/rushhitch/succession/takeover.py
@@ -93,7 +93,8 @@
             sock = channels.connect(self.configuration.state)
         except OSError:
             return Do.WAIT
-        self.channel = channel = Channel(sock, self.heard, lambda: self.news.put_nowait(None))
+        news_of = self.news = asyncio.Queue()  # the end of an earlier try is none of this one
+        self.channel = channel = Channel(sock, self.heard, lambda: news_of.put_nowait(None))
         channel.send({"t": "hello", "version": VERSION, "pid": os.getpid()})
         try:
             async with asyncio.timeout(ANSWER_S):
@@ -118,9 +119,6 @@
             do = Do.WAIT
         channels.close_all(fds)
         channel.close()
-        while not self.news.empty() or channel.open:
-            self.news.get_nowait()
-        self.news = asyncio.Queue()
         return do
 
     async def prepared(self) -> Inheritance:
@@ -129,10 +127,12 @@
         assert self.channel is not None, "there is a holder"
         self.successor.prepared()
         self.channel.send({"t": "ready"})
-        self.say_ready(int(self.welcome["listed"]), int(self.welcome["down"]))
-        log.info("ready to take over")
         while (news := await self.news.get()) is not None:
             told, fds = news
+            if told.get("t") == "promised" and self.successor.promised() is Do.SAY_READY:
+                self.say_ready(int(self.welcome["listed"]), int(self.welcome["down"]))
+                log.info("ready to take over")
+                continue
             if told.get("t") == "yield" and self.successor.yielded() is Do.TAKE:
                 journal = self.take_folder(fds[0])
                 assert journal is not None, "its lock was handed over"
--- /dev/null
+++ b/tests/test_succession.py
@@ -0,0 +1,472 @@
+"""One process takes over from another: the state machines, the channel, and two real programs."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+
+import pytest
+from doubles import ROOT, Program, run
+from hypothesis import settings as budget
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from rushhitch.succession import channel as channels
+from rushhitch.succession.channel import Channel
+from rushhitch.succession.states import VERSION, Do, Incumbent, New, Old, Successor
+
+
+class Upgrades(RuleBasedStateMachine):
+    """An old and a new process whose words may be on their way, and either of which may die at any step. The
+    folder has one owner at most, and never two who think so."""
+
+    def __init__(self):
+        super().__init__()
+        self.old, self.new = Incumbent(), Successor()
+        self.to_new, self.to_old = [], []
+        self.old_alive = self.new_alive = True
+        self.lock = "old"
+        self.joined = self.said_yes = False
+
+    @precondition(lambda self: self.new_alive and not self.joined and self.old_alive)
+    @rule()
+    def asks(self):
+        self.joined = True
+        self.to_old.append("hello")
+
+    @precondition(lambda self: self.to_old and self.old_alive)
+    @rule()
+    def old_hears(self):
+        word = self.to_old.pop(0)
+        if word == "hello":
+            do = self.old.joined(VERSION)
+            self.to_new.append("welcome" if do is Do.WELCOME else "no")
+        elif word == "ready" and self.old.ready() is Do.PROMISE:
+            self.to_new.append("promised")
+
+    @precondition(lambda self: self.to_new and self.new_alive)
+    @rule()
+    def new_hears(self):
+        word = self.to_new.pop(0)
+        if word == "welcome":
+            assert self.new.welcomed(VERSION) is Do.PREPARE
+        elif word == "promised":
+            assert self.new.promised() is Do.SAY_READY
+            self.said_yes = True
+        elif word == "yield":
+            assert self.new.yielded() is Do.TAKE
+            assert self.lock == "channel"
+            self.lock = "new"
+            self.new.taken()
+
+    @precondition(lambda self: self.new_alive and self.new.state is New.PREPARING)
+    @rule()
+    def new_is_prepared(self):
+        assert self.new.prepared() is Do.ASK
+        self.to_old.append("ready")
+
+    @precondition(lambda self: self.old_alive)
+    @rule()
+    def sigterm(self):
+        do = self.old.told_to_end()
+        assert not (self.said_yes and do is Do.LEAVE and self.new_alive), (
+            "a yes after which nobody is succeeded"
+        )
+        if do is Do.YIELD:
+            assert self.lock == "old"
+            self.lock = "channel"
+            self.to_new.append("yield")
+
+    @precondition(lambda self: self.old_alive)
+    @rule()
+    def old_dies(self):
+        self.old_alive = False
+        if self.lock == "old":
+            self.lock = "free"
+
+    @precondition(lambda self: not self.old_alive and self.new_alive and self.joined and not self.to_new)
+    @rule()
+    def new_sees_the_end(self):
+        do = self.new.lost()
+        if do is Do.TAKE_LOCK:
+            assert self.lock == "free", "it takes what another may hold"
+            self.lock = "new"
+
+    @precondition(lambda self: self.new_alive)
+    @rule()
+    def new_dies(self):
+        self.new_alive = False
+        if self.lock in ("new", "channel"):
+            self.lock = "free"
+        before = self.old.state
+        if self.old_alive and self.joined:
+            self.old.lost()
+            if before in (Old.OFFERING, Old.PROMISED):
+                assert self.old.state is Old.SERVING, "it does not serve on"
+
+    @rule()
+    def time_passes(self):
+        """There is a step also where both are dead."""
+
+    @invariant()
+    def one_owner_at_most(self):
+        if self.old_alive and self.new_alive:
+            assert not (self.old.owns and self.new.owns)
+        if self.new_alive and self.new.state is New.SERVING:
+            assert self.lock == "new"
+        if self.old_alive and self.old.owns:
+            assert self.lock == "old"
+
+
+Upgrades.TestCase.settings = budget(max_examples=200, stateful_step_count=20, deadline=None, derandomize=True)
+TestUpgrades = Upgrades.TestCase
+
+
+def test_a_third_process_is_refused_and_one_of_another_version_too():
+    old = Incumbent()
+    assert old.joined(VERSION) is Do.WELCOME
+    assert old.joined(VERSION) is Do.REFUSE and old.state is Old.OFFERING
+    assert Incumbent().joined(VERSION + 1) is Do.REFUSE
+    assert Successor().refused(busy=True) is Do.GIVE_UP
+    assert Successor().welcomed(VERSION + 1) is Do.WAIT
+
+
+def pair(heard_left, heard_right):
+    """Two ends, and events of their ends."""
+    left, right = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    lost = [asyncio.Event(), asyncio.Event()]
+    return Channel(left, heard_left, lost[0].set), Channel(right, heard_right, lost[1].set), lost
+
+
+def test_the_channel_carries_long_messages_with_descriptors_in_order_and_tells_its_end_last():
+    async def work():
+        heard = asyncio.Queue()
+        left, right, lost = pair(lambda *news: None, lambda told, fds: heard.put_nowait((told, fds)))
+        inside, outside = os.pipe()
+        left.send({"long": "x" * 400_000}, [outside])
+        for n in range(300):
+            left.send({"n": n})
+        told, fds = await heard.get()
+        assert len(told["long"]) == 400_000 and len(fds) == 1
+        os.write(fds[0], b"through")
+        assert os.read(inside, 7) == b"through"
+        assert [(await heard.get())[0]["n"] for _ in range(300)] == list(range(300))
+        await left.empty.wait()
+        left.send({"last": 1})
+        left.close()
+        await lost[1].wait()
+        assert (await heard.get())[0] == {"last": 1}
+        for fd in (inside, *fds):
+            os.close(fd)
+
+    run(work())
+
+
+def test_a_message_that_makes_no_sense_does_not_end_the_channel():
+    async def work():
+        heard = asyncio.Queue()
+        left, right, _ = pair(lambda *news: None, lambda told, fds: heard.put_nowait(told))
+        for data in (b"\x00{", b"\x00[]", b'\x00{"t":"ready"}'):
+            left.sock.send(data)
+        assert await heard.get() == {"t": "ready"}
+        assert heard.empty()
+        left.close()
+        right.close()
+
+    run(work())
+
+
+def test_a_folder_with_a_long_name_takes_the_socket_too(tmp_path):
+    folder = tmp_path / ("x" * 120)
+    folder.mkdir()
+    listener = channels.listen(folder)
+    other = channels.connect(folder)
+    assert channels.same_user(listener.accept()[0])
+    listener.close()
+    again = channels.listen(folder)  # what a killed process leaves does not stand in the way
+    for sock in (other, again):
+        sock.close()
+
+
+# Two real programs
+
+
+class Pair(Program):
+    """The program, and a second one started beside it."""
+
+    def __init__(self, folder, batch=1):
+        super().__init__(folder, batch)
+        self.others = []
+
+    def config(self):
+        return super().config() | {"listen": self.listen, "control": "127.0.0.1:0"}
+
+    async def surroundings(self):
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.listen = "{}:{}".format(*free.getsockname())
+        return await super().surroundings()
+
+    async def start(self):
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(self.config()))
+        self.process = await self.spawn()
+        line = await self.log_line("operators are answered on ")
+        self.control = line.rsplit(":", 1)[1].strip()
+        line = await self.log_line(" is ready on ")
+        self.port = int(line.split(" is ready on ")[1].split(",")[0].split(":")[1])
+
+    async def spawn(self):
+        env = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
+        env |= {"ROUTER_CONFIG": str(self.folder / "config.json"), "ROUTER_STATE": str(self.folder / "state")}
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "rushhitch", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
+        )
+
+    async def second(self):
+        """Start it; it becomes the one that `log_line` and `say` go to."""
+        self.others.append((self.process, self.control))
+        self.process = await self.spawn()
+        self.control = (await self.log_line("operators are answered on ")).rsplit(":", 1)[1].strip()
+
+    async def say(self, line, control=None):
+        reader, writer = await asyncio.open_connection("127.0.0.1", int(control or self.control))
+        writer.write(line + b"\n")
+        said = await reader.read()
+        writer.close()
+        return said
+
+    async def figures(self, control=None):
+        return json.loads((await self.say(b"INFO", control)).split(b"\n")[0])
+
+    async def ready(self):
+        while await self.say(b"PING") != b"ACK\n":
+            await asyncio.sleep(0.02)
+
+    async def end(self):
+        for process in [*(process for process, _ in self.others), self.process]:
+            if process is not None and process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
+def with_pair(folder, batch=1):
+    def decorate(test):
+        async def work():
+            program = await Pair(folder, batch).surroundings()
+            await program.start()
+            try:
+                await test(program)
+            finally:
+                await program.end()
+
+        run(work())
+
+    return decorate
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def test_an_upgrade_keeps_connections_messages_calls_and_bans(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        client, half = await pair.client(), await pair.client()
+        assert await client.add(b"out", "pay", 24000) == b"+OK\r\n"
+        out = await pair.partner.next()  # a call that is out over the handover, of a message that is unsafe
+        half.writer.write(b"*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000")  # and a request that is half sent
+        await half.writer.drain()
+        await pair.second()
+        await pair.ready()
+        old, old_control = pair.others[0]
+        assert await pair.say(b"DETACH e1") == b"ACK\n", "the ban did not reach the owner"
+        while (await pair.figures(old_control))["hosts_down"] != 1:
+            await asyncio.sleep(0.01)
+        assert await client.add(b"held") == b"+OK\r\n"  # it waits for the endpoint that is out
+        old.send_signal(signal.SIGTERM)
+        await pair.log_line(" is ready on ")
+        half.writer.write(b"000000000000\r\n$4\r\nhalf\r\n$20\r\nc=note,d=6000,dest=7\r\n$5\r\nhello\r\n")
+        assert await half.line() == b"+OK\r\n", "what was read of a request was lost"
+        assert await client.add(b"later") == b"+OK\r\n", "the connection was not passed on"
+        assert old.returncode is None, "the call that is out is not waited for"
+        assert await pair.say(b"ATTACH e1", old_control) == b"ACK\n", "the ban's end did not reach the owner"
+        out.answer(200)
+        assert await asyncio.wait_for(old.wait(), 5.0) == 0
+        seen = set()
+        while len(seen) < 3:
+            request = await pair.partner.next()
+            seen.add(request.headers["x-correlation-id"])
+            request.answer(200)
+        assert seen == {"held", "half", "later"}, "what was out was sent twice, or another not at all"
+        while (told := await pair.figures())["inflight"]:
+            await asyncio.sleep(0.02)
+        assert sum(told["success"].values()) == 4 and sum(told["failure"].values()) == 0
+
+
+def test_connections_that_wait_to_be_accepted_are_not_lost(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        await pair.second()
+        await pair.ready()
+        old, _ = pair.others[0]
+        old.send_signal(signal.SIGSTOP)  # it accepts nothing: all that come now wait in the queue
+        clients = [await pair.client() for _ in range(12)]  # of 20 messages that may be held
+        for number, client in enumerate(clients):
+            client.send(b"OUT.ADD", b"0" * 16, b"m%d" % number, b"c=note,d=6000,dest=7", b"hello")
+        old.send_signal(signal.SIGTERM)
+        old.send_signal(signal.SIGCONT)
+        assert [await client.line() for client in clients] == [b"+OK\r\n"] * 12
+
+
+def test_an_old_process_that_is_killed_leaves_its_queue_and_its_messages_to_the_new_one(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        client = await pair.client()
+        assert await client.add(b"safe") == b"+OK\r\n"
+        await pair.partner.next()
+        assert await client.add(b"pay", "pay", 24000) == b"+OK\r\n"
+        await pair.partner.next()
+        await pair.second()
+        await pair.ready()
+        old, _ = pair.others[0]
+        old.send_signal(signal.SIGSTOP)
+        waiting = await pair.client()
+        waiting.send(b"PING")
+        old.kill()
+        assert await waiting.line() == b"+PONG\r\n", "a connection that waited was reset"
+        assert await pair.notice() == {"ref": "pay", "result": "dead"}
+        again = await pair.partner.next()
+        assert again.headers["x-correlation-id"] == "safe"
+        again.answer(200)
+
+
+@pytest.mark.parametrize("when", ["before it is ready", "once it is ready"])
+def test_the_old_process_serves_on_where_the_new_one_dies(tmp_path, when):
+    @with_pair(tmp_path)
+    async def _(pair):
+        client = await pair.client()
+        await pair.second()
+        if when == "once it is ready":
+            await pair.ready()
+        await pair.kill()
+        pair.process, pair.control = pair.others.pop()
+        if when == "once it is ready":
+            await pair.log_line("this process serves on")
+        assert await client.add(b"m1") == b"+OK\r\n"
+        (await pair.partner.next()).answer(200)
+        await pair.second()  # and the next upgrade goes through
+        await pair.ready()
+        pair.others[0][0].send_signal(signal.SIGTERM)
+        await pair.log_line(" is ready on ")
+        assert await client.add(b"m2") == b"+OK\r\n"
+
+
+def test_a_new_process_that_dies_after_the_handover_leaves_all_to_a_plain_start(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        client = await pair.client()
+        assert await client.add(b"safe") == b"+OK\r\n"
+        await pair.partner.next()
+        await pair.second()
+        await pair.ready()
+        pair.others[0][0].send_signal(signal.SIGTERM)
+        await pair.log_line(" is ready on ")
+        await pair.kill()
+        await asyncio.wait_for(pair.others[0][0].wait(), 5.0)
+        pair.others.clear()
+        await pair.start()
+        again = await pair.partner.next()
+        assert again.headers["x-correlation-id"] == "safe"
+        again.answer(200)
+
+
+def test_what_is_out_when_the_old_process_dies_after_the_handover_may_have_run(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        client = await pair.client()
+        assert await client.add(b"pay", "pay", 24000) == b"+OK\r\n"
+        await pair.partner.next()
+        await pair.second()
+        await pair.ready()
+        old, _ = pair.others[0]
+        old.send_signal(signal.SIGTERM)
+        await pair.log_line(" is ready on ")
+        old.kill()
+        assert await pair.notice() == {"ref": "pay", "result": "dead"}
+        assert pair.partner.requests.empty(), "an unsafe message went twice"
+
+
+def test_a_third_process_is_refused_while_an_upgrade_is_under_way(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        await pair.second()
+        await pair.ready()
+        third = await pair.spawn()
+        _, error = await third.communicate()
+        assert third.returncode == 2 and b"another upgrade is under way" in error
+        client = await pair.client()
+        pair.others[0][0].send_signal(signal.SIGTERM)
+        await pair.log_line(" is ready on ")
+        assert await client.add(b"m1") == b"+OK\r\n"
+
+
+def test_two_upgrades_in_a_row_with_a_call_out_through_both(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        client = await pair.client()
+        assert await client.add(b"m1") == b"+OK\r\n"
+        out = await pair.partner.next()
+        for turn in range(2):
+            await pair.second()
+            await pair.ready()
+            pair.others[turn][0].send_signal(signal.SIGTERM)
+            await pair.log_line(" is ready on ")
+        assert await client.add(b"m2") == b"+OK\r\n"
+        (await pair.partner.next()).answer(200)
+        out.answer(200)
+        while (await pair.figures())["inflight"]:
+            await asyncio.sleep(0.02)
+        ends = [await pair.figures()]
+        assert sum(ends[0]["success"].values()) >= 1
+
+
+def test_a_broken_file_in_the_middle_of_an_upgrade_does_not_stop_it(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        client = await pair.client()
+        (tmp_path / "config.json").write_text('{"name":')
+        await pair.second()
+        await pair.ready()
+        pair.others[0][0].send_signal(signal.SIGTERM)
+        await pair.log_line(" is ready on ")
+        assert any("last good configuration is used" in line for line in pair.log)
+        assert await client.add(b"m1") == b"+OK\r\n"
+
+
+def test_a_holder_that_hands_nothing_over_is_waited_for(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        (tmp_path / "state" / channels.NAME).unlink()
+        await pair.second()
+        await pair.log_line("waiting for its end")
+        assert (await pair.say(b"PING")).startswith(b"NAK")
+        pair.others[0][0].kill()
+        await pair.log_line(" is ready on ")
+        assert await (await pair.client()).add(b"m1") == b"+OK\r\n"
+
+
+def test_a_crowd_of_connections_goes_over_within_the_descriptors(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        clients = [await pair.client() for _ in range(200)]
+        for client in clients:
+            assert await client.ask(b"PING") == b"+PONG\r\n"
+        await pair.second()
+        await pair.ready()
+        pair.others[0][0].send_signal(signal.SIGTERM)
+        await pair.log_line(" is ready on ")
+        for client in clients:
+            assert await client.ask(b"PING") == b"+PONG\r\n"
+        assert await asyncio.wait_for(pair.others[0][0].wait(), 5.0) == 0
