--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -12,6 +12,7 @@
 import math
 import random
 from collections import defaultdict, deque
+from dataclasses import replace
 
 import crowpier.interface as api
 from crowpier import learned
@@ -44,6 +45,13 @@
 TIMEOUT_CALLS = 4.0  # a call is given up after this times its usual time, but not before the class's aim
 TIMEOUT_AIMS = {Effect.SAFE: 2.0, Effect.KEYED: 1.0, Effect.UNSAFE: 8.0}  # unsafe: giving up loses it
 DOUBTED_SHARE = 0.25  # of that while idle connections are known to fail and this call went on one
+LOST_CALLS = (
+    6.0  # usual calls: one that is out for longer, and was overtaken, is called off where others wait
+)
+LOST_AIMS = {Effect.SAFE: 0.5, Effect.KEYED: 0.5, Effect.UNSAFE: 1.0}  # but not before; unsafe: that loses it
+OVERTAKEN = (
+    2  # later calls to the endpoint that were delivered: it is not slow, this one's connection is dead
+)
 LEAVE_CALLS = 4.0  # usual calls: so long before the process ends, no unsafe message is sent any more
 RETRY_CALLS = 0.25  # of a usual call: rest before the first further try, doubled with each
 REST_TOP_MS = 2_000.0  # no rest of our own is longer, a wanted time is of that order
@@ -242,6 +250,8 @@
         self.number, self.endpoint, self.sent_at = number, endpoint, now
         self.destination = message.destination
         self.usual, self.cls, self.left, self.judged = usual, message.cls.name, 0, False
+        self.riders: list[tuple[Message, int]] = []  # and which of their attempts it is
+        self.lost_at, self.abandoned, self.overtaken = -math.inf, False, 0  # by later calls
         self.idle_ms = now - endpoint.idle.pop() if endpoint.idle else 0.0  # of its connection, before it
 
 
@@ -341,6 +351,8 @@
         self.ask_for_list()
         self.end_late()
         self.hang_up()
+        if self.settings.may_cancel:
+            self.abandon()
         self.dispatch()
         self.set_alarm()
         return self.actions
@@ -640,6 +652,8 @@
             return
         message.attempts[event.attempt] = None
         message.out -= 1
+        if call.abandoned and event.outcome is Outcome.CANCELLED:
+            event = replace(event, outcome=Outcome.TIMEOUT)  # and that is what it was
         self.settle(call, event)
         if not event.outcome.never_ran and call.sent_at < message.ran_at:
             message.ran_at, message.ran_zone = call.sent_at, call.endpoint.zone
@@ -673,6 +687,8 @@
         self.learn(call.endpoint, event.outcome, call.sent_at, event.wait_ms)
         if event.outcome is Outcome.OK:
             self.time_call(call, event.took_ms)
+            for other in call.endpoint.calls.values():
+                other.overtaken += other.sent_at < call.sent_at
 
     def note_connection(self, call: Call, event: AttemptEnded) -> None:
         """Which connections are idle: as told, or else as the outcome has it."""
@@ -1007,6 +1023,19 @@
             if best := self.best_held(message.destination):
                 choices[number] = best
 
+    def abandon(self) -> None:
+        """Guards against slots that are held by calls on connections that have fallen silent, for as long as
+        an unsafe call is waited for, while messages wait. That later calls to the endpoint were delivered
+        tells a dead connection from a slow endpoint. It hurts where an answer was still to come: an unsafe
+        message is failed then."""
+        if not any(destination.held for destination in self.destinations.values()):
+            return
+        for endpoint in self.endpoints.values():
+            for call in endpoint.calls.values():
+                if call.overtaken >= OVERTAKEN and call.lost_at < self.now and not call.abandoned:
+                    call.abandoned = True
+                    self.actions += [api.Cancel(m.id, n) for m, n in call.riders if m.attempts[n] is call]
+
     def send(self, message: Message, targets: list[Endpoint]) -> None:
         destination = message.destination
         room = min(self.settings.slots - self.used, self.cap(destination) - len(destination.calls))
@@ -1040,6 +1069,9 @@
         message.attempts.append(call)
         message.out += 1
         call.left += 1
+        call.riders.append((message, len(message.attempts) - 1))
+        lost = max(LOST_CALLS * call.usual, LOST_AIMS[message.cls.effect] * message.cls.aim_ms)
+        call.lost_at = max(call.lost_at, self.now + lost)
         aims = TIMEOUT_AIMS[message.cls.effect]
         if call.idle_ms and self.keep_ms() < self.settings.conn_idle_ms:  # it may have been dropped unseen
             aims *= DOUBTED_SHARE
