An endpoint whose calls out are most likely lost gets one trial call at a time

Change: Dispatcher.hoped_for, asked in open_at and silent: past six usual calls and the class's aim one more call may go, one at a time. The test fails without it.

--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -912,7 +912,7 @@
         """When waits, pace, breaker and silence let a call go there; infinite if only an outcome tells."""
         at = endpoint.lane.open_at(self.now)
         if endpoint.tripped:
-            if endpoint.calls:
+            if self.hoped_for(endpoint):
                 return math.inf
             unsafe = message.cls.effect is Effect.UNSAFE  # a trial may lose it: others go first
             return max(at, endpoint.opens_at + (self.cold_gap(endpoint) if unsafe else 0.0))
@@ -925,7 +925,12 @@
         has been answered since it went."""
         call = next(iter(endpoint.calls.values()), None)
         late = call is not None and self.now - call.sent_at > SILENT_CALL * call.usual
-        return late and endpoint.answered_at < call.sent_at
+        return late and endpoint.answered_at < call.sent_at and self.hoped_for(endpoint)
+
+    def hoped_for(self, endpoint: Endpoint) -> bool:
+        """Whether a call that is out there may still be answered. Once none may, one more finds out: it
+        guards against an endpoint that is left alone while an unsafe call on a dead connection is out."""
+        return any(call.lost_at > self.now for call in endpoint.calls.values())
 
     # Sending
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -68,3 +68,21 @@
         if (message, 0) in bed.out:
             bed.end(message, Outcome.OK)
     assert 1 not in bed.answers
+
+
+def test_an_endpoint_whose_only_call_is_most_likely_lost_gets_one_more_at_a_time():
+    bed = Bed(Entry("e1", 1), slots=8, may_cancel=True)
+    for message in range(100, 130):
+        bed.arrive(message)
+        bed.pass_ms(100, timeouts=False)
+        bed.end(message, Outcome.OK)
+    bed.arrive(1, UNSAFE)
+    bed.pass_ms(1800, timeouts=False)
+    bed.arrive_together(2, 3, 4)
+    assert not (bed.where(2) or bed.where(3) or bed.where(4)), "sent past a call that may still be answered"
+    bed.pass_ms(700, timeouts=False)
+    trials = [message for message in (2, 3, 4) if bed.where(message)]
+    assert len(trials) == 1, "none, or a burst, past a call that hangs"
+    bed.end(trials[0], Outcome.OK)
+    bed.answer_all(1000, 50)
+    assert all(bed.answers.get(message) == "served" for message in (2, 3, 4))
