--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -76,6 +76,7 @@
         bed.arrive(message)
         bed.pass_ms(100, timeouts=False)
         bed.end(message, Outcome.OK)
+    bed.pass_ms(10)
     bed.arrive(1, UNSAFE)
     bed.pass_ms(1800, timeouts=False)
     bed.arrive_together(2, 3, 4)
