A trial past lost calls wakes by itself; calls taken over have their time too

The trial waited for an event of another destination: open_at gave infinity, so no reminder was set for it. It gives the moment now (hope_ends). A call that an earlier process carries counted as lost from the start; Call.carry is the one place that tells.

--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -254,6 +254,14 @@
         self.lost_at, self.abandoned, self.overtaken = -math.inf, False, 0  # by later calls
         self.idle_ms = now - endpoint.idle.pop() if endpoint.idle else 0.0  # of its connection, before it
 
+    def carry(self, message: Message, number: int) -> None:
+        """The message's attempt of that number goes with it."""
+        message.out += 1
+        self.left += 1
+        self.riders.append((message, number))
+        lost = max(LOST_CALLS * self.usual, LOST_AIMS[message.cls.effect] * message.cls.aim_ms)
+        self.lost_at = max(self.lost_at, self.sent_at + lost)
+
 
 class Message:
     """A message that was taken and is not over, or still has attempts out."""
@@ -564,8 +572,7 @@
         message.attempts += [None] * (lent.attempt + 1 - len(message.attempts))
         message.attempts[lent.attempt] = call
         message.first = message.first or call.endpoint
-        message.out += 1
-        call.left += 1
+        call.carry(message, lent.attempt)
 
     def over_share(self, tenant: int) -> bool:
         """Guards against a tenant that floods: beyond our part of its allowance its messages count little."""
@@ -912,25 +919,26 @@
         """When waits, pace, breaker and silence let a call go there; infinite if only an outcome tells."""
         at = endpoint.lane.open_at(self.now)
         if endpoint.tripped:
-            if self.hoped_for(endpoint):
-                return math.inf
+            at = max(at, self.hope_ends(endpoint))
             unsafe = message.cls.effect is Effect.UNSAFE  # a trial may lose it: others go first
             return max(at, endpoint.opens_at + (self.cold_gap(endpoint) if unsafe else 0.0))
         if endpoint.warm < 1.0:
             at = max(at, endpoint.opens_at)
-        return math.inf if self.silent(endpoint) or self.no_slot(endpoint) else at
+        if self.silent(endpoint):
+            at = max(at, self.hope_ends(endpoint))
+        return math.inf if self.no_slot(endpoint) else at
 
     def silent(self, endpoint: Endpoint) -> bool:
         """Guards against filling slots with calls to what hangs: the oldest call is long overdue and nothing
         has been answered since it went."""
         call = next(iter(endpoint.calls.values()), None)
         late = call is not None and self.now - call.sent_at > SILENT_CALL * call.usual
-        return late and endpoint.answered_at < call.sent_at and self.hoped_for(endpoint)
+        return late and endpoint.answered_at < call.sent_at
 
-    def hoped_for(self, endpoint: Endpoint) -> bool:
-        """Whether a call that is out there may still be answered. Once none may, one more finds out: it
-        guards against an endpoint that is left alone while an unsafe call on a dead connection is out."""
-        return any(call.lost_at > self.now for call in endpoint.calls.values())
+    def hope_ends(self, endpoint: Endpoint) -> float:
+        """When none of the calls out there may still be answered, and one more finds out: it guards against
+        an endpoint that is left alone while an unsafe call on a dead connection is out."""
+        return max((call.lost_at for call in endpoint.calls.values()), default=-math.inf)
 
     # Sending
 
@@ -1072,11 +1080,7 @@
     def attempt(self, message: Message, call: Call) -> None:
         message.destination.held.pop(message.id, None)
         message.attempts.append(call)
-        message.out += 1
-        call.left += 1
-        call.riders.append((message, len(message.attempts) - 1))
-        lost = max(LOST_CALLS * call.usual, LOST_AIMS[message.cls.effect] * message.cls.aim_ms)
-        call.lost_at = max(call.lost_at, self.now + lost)
+        call.carry(message, len(message.attempts) - 1)
         aims = TIMEOUT_AIMS[message.cls.effect]
         if call.idle_ms and self.keep_ms() < self.settings.conn_idle_ms:  # it may have been dropped unseen
             aims *= DOUBTED_SHARE
