Tests of new settings in service: what open messages keep, what is turned down

14 tests, 5 with a real process: effect and attempts that a message keeps, classes dropped with messages held and then SIGKILL, twelve broken files, a start while the file is broken. Property: nothing is lacking in a file beside itself.

--- /dev/null
+++ b/tests/test_new_settings.py
@@ -0,0 +1,240 @@
+"""New settings in service: what open messages keep, what is turned down, what outlasts a restart."""
+
+import asyncio
+import json
+import signal
+
+import pytest
+from bed import SAFE, UNSAFE, Bed
+from doubles import SAFE as NOTE
+from doubles import UNSAFE as PAY
+from doubles import WORTH, run
+from hypothesis import given
+from hypothesis import strategies as st
+from test_benchlink import TOLD
+from test_succession import Pair
+
+from crowpier.benchlink import settings_of
+from crowpier.interface import Effect, Entry, MessageClass, Outcome, Reconfigured, Settings
+from rushhitch.config.history import History, lacking
+
+
+def classes(**changes):
+    """The bed's settings with another first class."""
+    bed = Bed()
+    told = {key: getattr(bed.settings, key) for key in bed.settings.__dataclass_fields__}
+    return Settings(**(told | changes))
+
+
+def test_a_message_keeps_its_effect_though_the_class_becomes_unsafe():
+    bed = Bed(Entry("e1", 1))
+    bed.arrive(1, SAFE)
+    rest = bed.settings.classes[1:]
+    bed.feed(Reconfigured(classes(classes=(MessageClass("notice", 1500, 6000, effect=Effect.UNSAFE), *rest))))
+    bed.end(1, Outcome.ERROR)
+    bed.pass_ms(2000, timeouts=False)
+    assert len(bed.where(1)) == 2, "it was not sent again"
+    bed.end(1, Outcome.OK)
+    bed.arrive(2, SAFE)  # of the class as it is now
+    bed.end(2, Outcome.ERROR)
+    assert bed.answers[2] == "fail"
+
+
+def test_a_message_keeps_its_number_of_attempts():
+    bed = Bed(Entry("e1", 1), max_attempts=3)
+    bed.arrive(1, SAFE)
+    bed.feed(Reconfigured(classes(max_attempts=1)))
+    bed.arrive(2, SAFE)
+    for _ in range(3):
+        for message, attempt in list(bed.out):
+            bed.end(message, Outcome.FULL, attempt, wait=50.0)
+        bed.pass_ms(700, timeouts=False)
+    assert len(bed.where(1)) == 3 and len(bed.where(2)) == 1
+
+
+def test_a_class_that_was_dropped_goes_with_its_last_message():
+    bed = Bed(Entry("e1", 1))
+    bed.arrive(1, UNSAFE)
+    kept = tuple(cls for cls in bed.settings.classes if cls.name != "payment")
+    bed.feed(Reconfigured(classes(classes=kept)))
+    assert "payment" in bed.dispatcher.usual
+    bed.end(1, Outcome.OK)
+    assert bed.answers[1] == "served"
+    bed.feed(Reconfigured(classes(classes=kept)))
+    assert "payment" not in bed.dispatcher.usual
+
+
+def test_the_history_tells_what_each_message_was_taken_under():
+    def told(effect, attempts):
+        row = {"name": "n", "effect": effect, "aimMs": 1500.0, "hardLimitMs": 6000.0} | WORTH
+        limits = TOLD["policyLimits"] | {"maxAttempts": attempts}
+        return TOLD | {"categories": [row], "policyLimits": limits}
+
+    history = History()
+    for since, effect, attempts in ((1, "repeatable", 8), (10, "once", 2), (20, "repeatable", 8)):
+        settings = told(effect, attempts)
+        made = settings_of(json.dumps(settings).encode())
+        history = history.taken({"settings": settings, "name": "n0"}, made, since)
+    again = History.read(history.content())
+    for number, effect, attempts in ((9, Effect.SAFE, 8), (10, Effect.UNSAFE, 2), (25, Effect.SAFE, 8)):
+        terms = again.terms(number, "n")
+        assert (terms.cls.effect, terms.max_attempts) == (effect, attempts)
+    assert again.terms(10, "other") is None
+    assert [period.since for period in again.since(15).periods] == [10, 20]
+    assert again.file()["settings"] == told("repeatable", 8) and again.file()["name"] == "n0"
+
+
+@given(st.recursive(st.integers(), lambda inner: st.dictionaries(st.text(max_size=3), inner, max_size=3)))
+def test_nothing_is_lacking_in_a_file_beside_itself(value):
+    told = {"settings": value}
+    assert lacking(told, told) == ""
+
+
+@pytest.mark.parametrize(
+    "cut, missing",
+    [
+        (lambda told: told.pop("limits"), "limits"),
+        (lambda told: told["settings"].pop("quantumMs"), "settings.quantumMs"),
+        (lambda told: told["settings"]["policyLimits"].pop("mayProbe"), "settings.policyLimits.mayProbe"),
+        (lambda told: told["settings"].update(guarantees=3), "settings.guarantees"),
+    ],
+)
+def test_a_file_that_is_short_of_a_key_is_told_from_a_whole_one(cut, missing):
+    whole = {"limits": {}, "settings": json.loads(json.dumps(TOLD))}
+    short = json.loads(json.dumps(whole))
+    cut(short)
+    assert lacking(short, whole) == missing
+
+
+# The program
+
+
+def with_program(folder):
+    def decorate(test):
+        async def work():
+            program = await Pair(folder).surroundings()
+            await program.start()
+            try:
+                await test(program)
+            finally:
+                await program.end()
+
+        run(work())
+
+    return decorate
+
+
+def change(program, edit):
+    """Replace the file, and tell the program."""
+    told = program.config()
+    edit(told)
+    (program.folder / "config.json").write_text(json.dumps(told))
+    program.process.send_signal(signal.SIGHUP)
+
+
+EXPRESS = NOTE | WORTH | {"name": "express"}
+BROKEN = {
+    "empty": "",
+    "cut off": '{"name":"n0","settings":{"categories":[{"na',
+    "not an object": "[]",
+    "not JSON": "name = n0",
+}
+WRONG = {
+    "short of a key": lambda told: told["settings"].pop("policyLimits"),
+    "short of a class's key": lambda told: told["settings"]["categories"][0].pop("effect"),
+    "a deadline of 0": lambda told: told["settings"]["categories"][0].update(hardLimitMs=0),
+    "attempts of -1": lambda told: told["settings"]["policyLimits"].update(maxAttempts=-1),
+    "a wrong type": lambda told: told["settings"]["policyLimits"].update(maxAttempts="8"),
+    "not finite": lambda told: told["settings"]["categories"][0].update(aimMs=float("inf")),
+    "a class twice": lambda told: told["settings"]["categories"].append(EXPRESS | {"name": "note"}),
+    "other kinds": lambda told: told["settings"].update(kinds=["firms", "more"]),
+}
+
+
+def test_files_that_are_broken_change_nothing_and_are_counted(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        for count, text in enumerate(BROKEN.values(), 1):
+            (tmp_path / "config.json").write_text(text)
+            program.process.send_signal(signal.SIGHUP)
+            while (await program.figures())["reconfig_failed"] < count:
+                await asyncio.sleep(0.02)
+        for count, edit in enumerate(WRONG.values(), 1 + len(BROKEN)):
+
+            def spoil(told, edit=edit):
+                told["settings"]["categories"].append(EXPRESS)
+                edit(told)
+
+            change(program, spoil)
+            while (await program.figures())["reconfig_failed"] < count:
+                await asyncio.sleep(0.02)
+        assert (await program.figures())["reconfig_ok"] == 0
+        assert (await client.add(b"m1", "express")).startswith(b"-ERR"), "a part of a broken file was taken"
+        assert await client.add(b"m2", "note") == b"+OK\r\n"
+
+
+def test_a_class_is_added_and_another_dropped_and_open_messages_go_on(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        assert await client.add(b"old", "note") == b"+OK\r\n"
+        request = await program.partner.next()
+
+        def swap(told):
+            told["settings"]["categories"] = [PAY | WORTH, EXPRESS]
+
+        change(program, swap)
+        while not (await program.figures())["reconfig_ok"]:
+            await asyncio.sleep(0.02)
+        assert await client.add(b"new", "express") == b"+OK\r\n"
+        assert (await program.partner.next()).headers["x-correlation-id"] == "new"
+        client = await program.client()
+        assert (await client.add(b"late", "note")).startswith(b"-ERR")
+        request.answer(500)
+        again = await program.partner.next()
+        assert again.headers["x-correlation-id"] == "old", "the class it was taken under is safe to repeat"
+        again.answer(200)
+
+
+def test_a_message_of_a_dropped_class_goes_on_after_sigkill_under_the_new_file(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        assert await client.add(b"old", "note") == b"+OK\r\n"
+        await program.partner.next()
+        await program.kill()
+        config = program.config
+
+        def without():
+            told = config()
+            told["settings"]["categories"] = [PAY | WORTH]
+            return told
+
+        program.config = without
+        await program.start()
+        again = await program.partner.next()
+        assert again.headers["x-correlation-id"] == "old", "it was given up with its class"
+        again.answer(200)
+
+
+def test_a_start_while_the_file_is_broken_takes_the_last_good_one(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        await program.kill()
+        (tmp_path / "config.json").write_text("")
+        program.process = await program.spawn()
+        await program.log_line("the last good configuration is used")
+        await program.log_line(" is ready on ")
+        assert await (await program.client()).add(b"m1") == b"+OK\r\n"
+
+
+def test_a_first_start_without_a_good_file_ends_with_code_2(tmp_path):
+    async def work():
+        program = await Pair(tmp_path).surroundings()
+        (tmp_path / "config.json").write_text("{")
+        process = await program.spawn()
+        _, error = await process.communicate()
+        assert process.returncode == 2 and b"ROUTER_CONFIG" in error
+
+    run(work())
