The lab plays upgrades, endpoints taken out and broken files, and its checker holds bans

Faults upgrade, detach and reload; the drain rule has the operators' bans too, with a planted violation in tests/test_lab_rules.py.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -30,7 +30,7 @@
         self.state.mkdir(parents=True, exist_ok=True)
         self.process: asyncio.subprocess.Process | None = None
         self.reading: asyncio.Task[None] | None = None
-        self.port = self.event_port = 0
+        self.port = self.event_port = self.control = 0
         self.ready = asyncio.Event()
         self.room = folder / "room"  # holds the bytes that its disk has, where the scenario fills it
         self.log = (folder / "log").open("ab")
@@ -44,6 +44,17 @@
 
     async def start(self) -> None:
         """Start it and wait until it serves."""
+        await self.spawn()
+        async with asyncio.timeout(READY_S):
+            await self.ready.wait()
+        if not self.port:
+            self.log.flush()
+            log = Path(self.log.name).read_text(errors="replace")[-600:]
+            raise RuntimeError(f"{self.name} did not start; its log ends: {log}")
+        self.history.add("ready", dispatcher=self.name)
+        self.serves(self.name, self.port, self.event_port)
+
+    async def spawn(self) -> None:
         path = self.folder / "config.json"
         self.config["known"] = self.known(self.name)
         path.write_text(json.dumps(self.config))
@@ -66,14 +77,43 @@
             stderr=asyncio.subprocess.PIPE,
         )
         self.reading = asyncio.get_running_loop().create_task(self.read(self.process))
+
+    async def upgrade(self) -> None:
+        """Start another beside it, wait for its yes, tell the old one to end: to clients, one dispatcher."""
+        old, reading = self.process, self.reading
+        if old is None or old.returncode is not None:
+            return
+        self.control = 0
+        await self.spawn()
         async with asyncio.timeout(READY_S):
+            while not self.control or await self.say("PING") != "ACK":
+                await asyncio.sleep(0.02)
+            old.send_signal(signal.SIGTERM)
             await self.ready.wait()
-        if not self.port:
-            self.log.flush()
-            log = Path(self.log.name).read_text(errors="replace")[-600:]
-            raise RuntimeError(f"{self.name} did not start; its log ends: {log}")
-        self.history.add("ready", dispatcher=self.name)
-        self.serves(self.name, self.port, self.event_port)
+        self.history.add("upgraded", dispatcher=self.name)
+        try:
+            async with asyncio.timeout(TERM_S):
+                code = await old.wait()
+        except TimeoutError:
+            old.kill()
+            code = await old.wait() and 0
+        self.crashed |= code != 0
+        if reading is not None:
+            await reading
+
+    async def say(self, line: str) -> str:
+        """A call to the control address; its answer's first line, or nothing."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.control)
+        except OSError:
+            return ""
+        try:
+            writer.write(line.encode() + b"\n")
+            return (await reader.readline()).decode().strip()
+        except OSError:
+            return ""
+        finally:
+            writer.close()
 
     async def read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr is not None
@@ -81,6 +121,8 @@
             self.log.write(line)
             if b"CloudEvents are taken on " in line:
                 self.event_port = int(line.rpartition(b":")[2])
+            if b"operators are answered on " in line:
+                self.control = int(line.rpartition(b":")[2])
             if b" is ready on " in line:
                 self.port = int(line.split(b" is ready on ")[1].split(b",")[0].rpartition(b":")[2])
                 self.ready.set()
--- a/lab/rules.py
+++ b/lab/rules.py
@@ -77,6 +77,7 @@
         self.outages: defaultdict[str, list[list[float]]] = defaultdict(list)
         self.lives: defaultdict[str, list[Event]] = defaultdict(list)
         self.refused: list[Event] = []
+        self.bans: defaultdict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)
         self.ends_at = events[-1]["at"] if events else 0.0
         for event in events:
             getattr(self, "see_" + event["what"])(event)
@@ -119,6 +120,22 @@
     def see_notice(self, event: Event) -> None:
         self.notices[event["id"]].append(event)
 
+    def see_detached(self, event: Event) -> None:
+        spans = self.bans[event["dispatcher"], event["endpoint"]]
+        if not spans or spans[-1][1] < math.inf:
+            spans.append((event["at"], math.inf))
+
+    def see_attached(self, event: Event) -> None:
+        spans = self.bans[event["dispatcher"], event["endpoint"]]
+        if spans:
+            spans[-1] = (spans[-1][0], min(spans[-1][1], event["at"]))
+
+    def see_unheard(self, event: Event) -> None:
+        """Operators got no yes: nothing was promised."""
+
+    def see_upgraded(self, event: Event) -> None:
+        """To the rules, the two processes are one dispatcher."""
+
     def see_told(self, event: Event) -> None:
         self.told[event["dispatcher"], event["endpoint"]].append(event)
 
@@ -265,6 +282,11 @@
         if off is not None and call.began > off + grace:
             text = f"{call.dispatcher} called it at {call.began:.0f} ms, told off at {off:.0f} ms"
             yield Broken("drain", call.endpoint, call.began, text)
+    for call in seen.calls.values():
+        for since, until in seen.bans[call.dispatcher, call.endpoint]:
+            if since + grace < call.began < until - SOCKET_SLACK_MS:
+                text = f"{call.dispatcher} called it at {call.began:.0f} ms, taken out at {since:.0f} ms"
+                yield Broken("drain", call.endpoint, call.began, text)
 
 
 def pushed(seen: Seen) -> Iterator[Broken]:
--- a/lab/run.py
+++ b/lab/run.py
@@ -113,6 +113,7 @@
             config = {
                 "name": name,
                 "listen": "127.0.0.1:0",
+                "control": "127.0.0.1:0",
                 "discovery": f"127.0.0.1:{self.directory.port(name)}",
                 "seed": f"{random.Random(f'{self.scenario.seed} {name}').getrandbits(64):016x}",
                 "limits": {
@@ -390,6 +391,32 @@
         async with self.dispatchers[fault.on].turn:
             await self.dispatchers[fault.on].restart()
 
+    async def begin_upgrade(self, fault: Fault) -> None:
+        async with self.dispatchers[fault.on].turn:
+            await self.dispatchers[fault.on].upgrade()
+
+    async def operate(self, word: str, what: str, endpoint: str) -> None:
+        """All dispatchers hear a word of operators; the history has each yes."""
+        for name, dispatcher in self.dispatchers.items():
+            async with dispatcher.turn:  # one that is being restarted is told afterwards
+                if (said := await dispatcher.say(f"{word} {endpoint}")) == "ACK":
+                    self.history.add(what, dispatcher=name, endpoint=endpoint)
+                else:
+                    self.history.add("unheard", dispatcher=name, endpoint=endpoint, said=said)
+
+    async def begin_detach(self, fault: Fault) -> None:
+        await self.operate("DETACH", "detached", fault.on)
+        if fault.seconds < math.inf:
+            await asyncio.sleep(fault.seconds)
+            await self.operate("ATTACH", "attached", fault.on)
+
+    async def begin_reload(self, fault: Fault) -> None:
+        dispatcher = self.dispatchers[fault.on]
+        (dispatcher.folder / "config.json").write_text('{"name": "cut o')
+        dispatcher.send(signal.SIGHUP)
+        await asyncio.sleep(fault.seconds if fault.seconds < math.inf else START_S)
+        dispatcher.reload()
+
     def begin_pause(self, fault: Fault) -> None:
         self.dispatchers[fault.on].send(signal.SIGSTOP)
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -48,6 +48,9 @@
     "move": "the directory moves to another address: a new configuration and SIGHUP",
     "kill": "SIGKILL to a dispatcher, which starts again after `seconds`",
     "restart": "SIGTERM, SIGKILL 3.7 s later at the latest, and a start 0.6 s after",
+    "upgrade": "a second process is started beside a dispatcher, and once it says yes the first gets SIGTERM",
+    "detach": "operators take an endpoint out at all dispatchers, and give it back after `seconds`",
+    "reload": "a broken configuration and SIGHUP at a dispatcher, and the good one again after `seconds`",
     "pause": "SIGSTOP to a dispatcher, and SIGCONT after `seconds`",
     "disk": "the disk of a dispatcher is full",
     "planner_kill": "SIGKILL to a planner, which starts again, empty, after `seconds`",
@@ -157,7 +160,8 @@
             "drain": endpoints,
             "remove": endpoints,
             "reuse": endpoints,
-        } | dict.fromkeys(("kill", "restart", "pause", "disk"), dispatchers)
+            "detach": endpoints,
+        } | dict.fromkeys(("kill", "restart", "upgrade", "reload", "pause", "disk"), dispatchers)
         planners = {f"p{number}" for number in range(self.planners)}
         wanted |= dict.fromkeys(("planner_kill", "planner_pause"), planners)
         pairs = {f"{dispatcher}-{planner}" for dispatcher in dispatchers for planner in planners}
--- a/tests/test_lab_rules.py
+++ b/tests/test_lab_rules.py
@@ -398,3 +398,13 @@
     path = tmp_path / "history"
     History(story.events).write(path)
     assert History.read(path).events == story.events
+
+
+def test_a_call_to_what_operators_took_out_is_seen_until_they_give_it_back():
+    made = Story()
+    for at, what in ((1000, "detached"), (1100, "detached"), (9000, "attached")):
+        made.at(at, what, dispatcher="d0", endpoint="e1")
+    for number, at in enumerate((1500, 5000, 9500)):
+        made.taken(at - 10, f"m{number}")
+        made.reply(at + 50, made.call(at, f"m{number}"))
+    assert made.broken() == ["drain e1"]
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -43,6 +43,31 @@
 load = { note = 10.0, pay = 5.0 }
 """
 FAULTS = {
+    "upgrades, with an endpoint that operators take out, and a broken file": """
+[[fault]]
+at = 0.6
+what = "detach"
+on = "bank-1"
+seconds = 1.6
+[[fault]]
+at = 0.9
+what = "upgrade"
+on = "d0"
+[[fault]]
+at = 1.6
+what = "reload"
+on = "d0"
+seconds = 0.3
+[[fault]]
+at = 2.4
+what = "upgrade"
+on = "d0"
+[[fault]]
+at = 3.0
+what = "kill"
+on = "d0"
+seconds = 0.3
+""",
     "kills": """
 [[fault]]
 at = 0.8
