Who gives way in a crowd is a decision of its own; nothing is written after a handover

Need: under pressure only connections between requests gave way, so that strangers with half a request filled the table for 2 s each and true clients were refused; a client that needs 2 s to write one message was closed at 2 s. rushhitch/fronts/admission.py decides, without I/O: silent strangers, stalled ones, those that have just come, those served before; senders and those with an answer due stay. A request in pieces has 2.6 s. tests/test_admission.py fails where stalled strangers keep their place.

--- a/rushhitch/fronts/cloudevents.py
+++ b/rushhitch/fronts/cloudevents.py
@@ -214,9 +214,7 @@
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return
-        self.server.used(self)
-        if not self.size:
-            self.heard_at = self.loop.time()
+        self.heard()
         self.http.receive_data(data)
         self.serve()
 
--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -10,13 +10,13 @@
 from collections.abc import Callable
 from enum import Enum
 
+from rushhitch.fronts import admission
+from rushhitch.fronts.admission import Standing, order
 from rushhitch.fronts.taker import Taker
 
 log = logging.getLogger(__name__)
 
 MOST_REQUEST = 69_632  # bytes of a request of one message: its body and 4 KiB
-SILENT_S = 2.0  # a connection that has asked nothing, or half a request, is closed after so long
-IDLE_S = 6.0  # one that stands between requests is closed after so long
 SWEEP_S = 0.25  # between two looks for such connections
 BACKLOG = 512  # connections that may wait to be accepted
 ACCEPTS = 16  # connections taken at once, so that a crowd does not hold up those who ask
@@ -51,6 +51,7 @@
         self.transport: asyncio.Transport | None = None
         self.resting: asyncio.TimerHandle | None = None  # until then nothing more of it is served
         self.heard_at = self.loop.time()  # when it connected, began a request or had its last answer
+        self.connected_at = self.moved_at = self.heard_at
         self.size = 0  # bytes of a request that has not come whole
         self.asked = False  # it has made a request that makes sense
         self.full = False  # it does not take its answers
@@ -67,6 +68,20 @@
         self.size = size
         return self.server.begun <= self.server.most_begun
 
+    def heard(self) -> None:
+        """Bytes have come."""
+        self.server.used(self)
+        self.moved_at = self.loop.time()
+        if not self.size:
+            self.heard_at = self.moved_at
+
+    @property
+    def standing(self) -> Standing:
+        waits = bool(self.slots or self.resting)
+        return Standing(
+            self.connected_at, self.heard_at, self.moved_at, self.size, self.asked, waits and not self.deaf
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         if not self.server.make_room():
@@ -128,6 +143,15 @@
             self.close_between()
         return self.transport is None or self.transport.is_closing()
 
+    def give_way(self) -> bool:
+        """Make room for another. One that has stopped within a request hears why."""
+        if self.size and not self.deaf:
+            if not self.unread():
+                self.refuse("too many clients are connected", Fault.CROWD)
+        else:
+            self.finish()
+        return self.transport is None or self.transport.is_closing()
+
     def close_between(self) -> None:
         if not self.slots and self.between() and self.transport is not None:
             self.transport.close()
@@ -146,18 +170,18 @@
 
     def end_waiting(self, now: float) -> None:
         """Guards against clients that say nothing, or half a request, or keep a connection for good."""
-        waited = now - self.heard_at
-        if self.transport is None or waited < SILENT_S:
+        standing = self.standing
+        if self.transport is None:
             return
         if self.deaf:
-            self.transport.abort()  # it does not take its last answer
-        elif self.slots or self.resting or self.unread():
-            return
-        elif self.size:
-            self.refuse("the rest of the request did not come", Fault.LATE)
-        elif not self.asked:
-            self.refuse("no request came that makes sense", Fault.LATE)
-        elif waited >= IDLE_S:
+            if now - self.heard_at >= admission.SILENT_S:
+                self.transport.abort()  # it does not take its last answer
+        elif standing.overdue(now):
+            if self.unread():
+                return
+            text = "the rest of the request did not come" if self.size else "no request came that makes sense"
+            self.refuse(text, Fault.LATE)
+        elif standing.idle(now) and not self.unread():
             self.finish()
 
     def pause_writing(self) -> None:
@@ -244,13 +268,13 @@
             self.clients[client] = None
 
     def make_room(self) -> bool:
-        """Guards against crowds: where there are too many, one that has asked nothing gives way, or else the
-        one that has been silent longest."""
+        """Guards against crowds: where there are too many, the first in `admission.order` gives way."""
         if len(self.clients) < self.most:
             return True
-        for client in sorted(filter(ClientConnection.between, self.clients), key=lambda client: client.asked):
-            if client.finish():
-                self.clients.pop(client)
+        now = self.loop.time()
+        for client in order(((client, client.standing) for client in self.clients), now):
+            if client.give_way():
+                self.clients.pop(client, None)
                 return True
         return False
 
@@ -260,6 +284,15 @@
             client.end_waiting(now)
         self.loop.call_later(SWEEP_S, self.sweep)
 
+    def pause_listening(self) -> None:
+        """Leave those who come in the queue, for this process or another to accept."""
+        for listener in self.listeners:
+            self.loop.remove_reader(listener)
+
+    def resume_listening(self) -> None:
+        for listener, front in zip(self.listeners, self.fronts.values(), strict=True):
+            self.loop.add_reader(listener, self.accept, listener, front)
+
     def stop_listening(self) -> None:
         for listener in self.listeners:
             self.loop.remove_reader(listener)
--- a/rushhitch/fronts/resp2.py
+++ b/rushhitch/fronts/resp2.py
@@ -124,9 +124,7 @@
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return
-        self.server.used(self)
-        if not self.size:
-            self.heard_at = self.loop.time()
+        self.heard()
         self.reader.feed(data[: self.framing.follow(data)])
         self.tail += data
         del self.tail[: len(self.tail) - self.framing.size]
--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -262,9 +262,10 @@
         log.info("endpoint %s is given back by operators", endpoint)
 
     def info(self) -> dict[str, Any]:
-        """The figures as of now."""
+        """The figures as of now; what was handed over is told by the process that has it."""
+        held = 0 if self.yielded else len(self.by_id)
         known = len(self.entries), self.dispatcher.avoided()
-        return self.figures.report(self.endpoints.written, len(self.by_id), *known)
+        return self.figures.report(self.endpoints.written, held, *known)
 
     def reconfigure(self, settings: Settings, history: History) -> None:
         """Take other settings for what comes from now on; `history` tells of them too. Raises `ValueError`
@@ -370,7 +371,7 @@
     def withdraw(self, number: int) -> None:
         """The client went without its answer and may hand the message in anew: nothing is owed."""
         message = self.messages.get(number)
-        if message is not None and not message.over:
+        if message is not None and not message.over and not self.yielded:
             message.answer = None
             message.enders.clear()
             message.sink = b""
@@ -697,6 +698,8 @@
 
     def turn(self) -> None:
         """Hand the module what has come, and carry out what it says."""
+        if self.yielded:
+            return
         self.gathering = False
         events, self.events = self.events, []
         fresh, self.fresh, self.fresh_bytes = self.fresh, [], 0
@@ -899,6 +902,8 @@
         """Write what was noted. `then`, and the notices due, follow once it is there; `otherwise` where the
         disk does not take it, and what was noted is tried again soon. Guards against an end that is told and
         then forgotten: after a restart the message would be sent as if nobody had been told."""
+        if self.yielded:  # the folder is another process's
+            return
         notices, self.notices = self.notices, []
         ends, self.ends = self.ends, []
 
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -201,11 +201,15 @@
         self.desk.ready = False
         if self.handover.incumbent.told_to_end() is Do.YIELD:
             log.info("%s hands over, %d messages held", self.configuration.name, len(self.node.by_id))
-            self.desk.relay, self.desk.node = self.handover.relay, self.node
+            self.desk.relay = self.handover.relay
             self.platform.stop()
+            if self.reloading is not None:
+                self.reloading.cancel()  # the settings' file is another process's soon
             if await self.handover.hand_over(leave_at):
                 self.clients.stop_listening()
                 return
+            self.desk.relay = None
+            self.clients.resume_listening()
             self.platform.start()
         await self.leave(leave_at)
 
--- a/rushhitch/succession/handover.py
+++ b/rushhitch/succession/handover.py
@@ -151,15 +151,16 @@
         """All of it goes to the successor; then wait for the calls that are out. False where the disk does
         not take what the successor needs: then this process ends as without one."""
         assert self.channel is not None, "there is a successor"
-        for listener in self.clients.listeners:
-            self.loop.remove_reader(listener)
+        self.clients.pause_listening()
         while self.clients.accepted:
             await asyncio.wait(self.clients.accepted)
         if not await self.node.freeze():
+            self.incumbent.cannot_yield()
             log.error("the disk does not take what a successor needs: this process ends without handing over")
             return False
         channel = self.channel
-        if channel is None:
+        if channel is None:  # it died meanwhile, and nothing was given away yet
+            self.incumbent.cannot_yield()
             return False
         lock, told = self.node.yield_all(self.report)
         channel.send({"t": "yield", "version": self.version()} | told, [lock])
--- a/rushhitch/succession/states.py
+++ b/rushhitch/succession/states.py
@@ -91,6 +91,11 @@
             return Do.LEAVE
         return None
 
+    def cannot_yield(self) -> None:
+        """The disk does not take what a successor needs: this process still owns all, and ends plainly."""
+        if self.state in (Old.YIELDING, Old.GONE):
+            self.state = Old.LEAVING
+
     def idle(self) -> Do | None:
         """No call is out here any more."""
         if self.state is Old.YIELDING:
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,144 @@
+"""Who gives way in a crowd, and how long a request may take to come."""
+
+import asyncio
+import os
+
+import pytest
+from doubles import run
+from hypothesis import given
+from hypothesis import strategies as st
+from test_fronts_resp2 import ADD, Taker, connect
+
+from rushhitch.fronts.admission import Standing, order
+from rushhitch.fronts.listener import Clients
+from rushhitch.fronts.resp2 import Resp2
+from rushhitch.fronts.taker import TAKEN
+
+NOW = 100.0
+
+
+def standing(waited=1.0, still=1.0, **told):
+    return Standing(NOW - waited, NOW - waited, NOW - still, **told)
+
+
+def test_strangers_go_first_then_those_that_stopped_then_those_that_were_served():
+    crowd = {
+        "served": standing(50.0, asked=True),
+        "served, just now": standing(0.1, 0.1, asked=True),
+        "stopped": standing(1.5, 0.6, size=10),
+        "silent": standing(1.0),
+        "silent longer": standing(1.9, 1.9),
+        "has just come": standing(0.1, 0.1),
+        "sending": standing(1.9, 0.1, size=10),
+        "served, sending": standing(1.0, 0.6, size=10, asked=True),
+        "waits": standing(0.1, 0.1, asked=True, waits=True),
+    }
+    found = order(crowd.items(), NOW)
+    assert found == ["silent longer", "silent", "stopped", "has just come", "served", "served, just now"]
+
+
+@pytest.mark.parametrize(
+    "told, overdue",
+    [
+        (standing(1.9), False),
+        (standing(2.1, 2.1), True),  # it has said nothing
+        (standing(2.1, 0.7, size=5), True),  # it stopped
+        (standing(2.4, 0.1, size=5), False),  # it sends in pieces
+        (standing(2.65, 0.1, size=5), True),  # but not for ever
+        (standing(9.0, 0.1, asked=True), False),
+        (standing(2.4, 0.1, size=5, asked=True), False),
+        (standing(9.0, 9.0, waits=True), False),
+        (Standing(NOW - 2.75, NOW - 1.0, NOW - 0.1, size=5), True),  # a stranger is owed an end by 3 s
+        (Standing(NOW - 2.75, NOW - 1.0, NOW - 0.1, size=5, asked=True), False),
+    ],
+)
+def test_a_request_may_take_as_long_as_it_makes_progress_and_strangers_have_an_end(told, overdue):
+    assert told.overdue(NOW) is overdue
+
+
+standings = st.builds(
+    Standing,
+    st.floats(90, 100),
+    st.floats(90, 100),
+    st.floats(90, 100),
+    st.integers(0, 2),
+    st.booleans(),
+    st.booleans(),
+)
+
+
+@given(st.lists(standings, max_size=20))
+def test_nobody_with_an_answer_due_and_no_sender_gives_way_and_nobody_twice(crowd):
+    found = order(enumerate(crowd), NOW)
+    assert len(set(found)) == len(found)
+    for number, told in enumerate(crowd):
+        protected = told.waits or (told.size > 0 and not told.stalled(NOW))
+        assert not (protected and number in found)
+        assert told.waits or told.size or number in found
+
+
+def descriptors():
+    return len(os.listdir("/proc/self/fd"))
+
+
+def test_slow_writers_are_served_beside_a_crowd_that_never_finishes_a_message():
+    async def work():
+        before = descriptors()
+        taker = Taker()
+        server = Clients(taker, 64)
+        server.listen(("127.0.0.1", 0), "resp2", Resp2)
+        over = asyncio.Event()
+        told_off, crowd = 0, []
+
+        async def stranger(number):
+            nonlocal told_off
+            client = await connect(server)
+            client.writer.write(b"" if number % 2 else b"*5\r\n$7\r\nOUT")
+            try:
+                said = await client.reader.read()
+            except ConnectionError:
+                said = b""
+            told_off += not said.startswith(b"+")
+            client.writer.close()
+
+        async def flood():
+            number = 0
+            while not over.is_set():
+                crowd.extend(asyncio.ensure_future(stranger(number + n)) for n in range(40))
+                number += 40
+                await asyncio.sleep(0.5)
+            await asyncio.gather(*crowd)
+            return number
+
+        async def writer():
+            client = await connect(server)
+            text = b"*%d\r\n" % len(ADD) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in ADD)
+            size = -(-len(text) // 12)
+            for at in range(0, len(text), size):  # a piece each tenth of a second
+                client.writer.write(text[at : at + size])
+                await asyncio.sleep(0.1)
+            line = await client.line()
+            client.writer.close()
+            return line
+
+        async def take():
+            while True:
+                _, answer = await taker.offers.get()
+                answer(TAKEN)
+
+        flooding, taking = asyncio.ensure_future(flood()), asyncio.ensure_future(take())
+        await asyncio.sleep(1.2)  # the table is full of strangers
+        lines = await asyncio.gather(*(writer() for _ in range(6)))
+        over.set()
+        number = await flooding
+        taking.cancel()
+        assert lines == [b"+OK\r\n"] * 6, "a true client was closed, or shut out"
+        assert number >= 80 and told_off == number
+        server.stop_listening()
+        while server.clients:
+            server.finish()
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.1)
+        assert descriptors() <= before + 4, "descriptors were not given back"
+
+    run(work())
--- a/tests/test_fronts_cloudevents.py
+++ b/tests/test_fronts_cloudevents.py
@@ -11,7 +11,7 @@
 from rushhitch.cloudevents.http import BATCH, MOST_BATCH, STRUCTURED
 from rushhitch.cloudevents.mapping import Rules
 from rushhitch.ended import End, Ended
-from rushhitch.fronts import cloudevents, listener
+from rushhitch.fronts import admission, cloudevents
 from rushhitch.fronts.cloudevents import front, wait_of
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
@@ -320,7 +320,7 @@
 
 
 def test_a_length_that_is_too_long_waits_and_is_told_so(tmp_path, monkeypatch):
-    monkeypatch.setattr(listener, "SILENT_S", 0.3)
+    monkeypatch.setattr(admission, "SILENT_S", 0.3)
 
     @with_front(tmp_path)
     async def _(front):
@@ -435,7 +435,7 @@
 
 @pytest.mark.parametrize("said", [b"", b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhal"])
 def test_a_client_that_says_nothing_or_half_a_request_is_told_so_and_closed(tmp_path, monkeypatch, said):
-    monkeypatch.setattr(listener, "SILENT_S", 0.1)
+    monkeypatch.setattr(admission, "SILENT_S", 0.1)
 
     @with_front(tmp_path)
     async def _(front):
--- a/tests/test_fronts_resp2.py
+++ b/tests/test_fronts_resp2.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rushhitch.fronts import listener
+from rushhitch.fronts import admission
 from rushhitch.fronts import resp2 as clients
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2, parse_offer
@@ -222,7 +222,7 @@
 @pytest.mark.parametrize("said", [b"", b"*1\r\n$4\r\nPI", b"*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI"])
 def test_a_client_that_says_nothing_or_half_a_request_is_told_so_and_closed(said, monkeypatch):
     # Guards against descriptors that silent clients hold for good.
-    monkeypatch.setattr(listener, "SILENT_S", 0.1)
+    monkeypatch.setattr(admission, "SILENT_S", 0.1)
 
     @with_server()
     async def _(server, taker):
@@ -233,8 +233,8 @@
 
 
 def test_a_connection_kept_for_good_is_closed_between_requests_only(monkeypatch):
-    monkeypatch.setattr(listener, "SILENT_S", 0.1)
-    monkeypatch.setattr(listener, "IDLE_S", 0.2)
+    monkeypatch.setattr(admission, "SILENT_S", 0.1)
+    monkeypatch.setattr(admission, "IDLE_S", 0.2)
 
     @with_server()
     async def _(server, taker):
