Tests: ten thousand silent connections, calls out past the old process's end, bans through lists

Hard cases of the daily service that had no test: slow writers beside ten thousand connections that say nothing; an unsafe call out for longer than the old process may live; a ban over an upgrade and a list without the endpoint and with it again; SIGHUP twice at once.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -81,7 +81,12 @@
     return len(os.listdir("/proc/self/fd"))
 
 
-def test_slow_writers_are_served_beside_a_crowd_that_never_finishes_a_message():
+@pytest.mark.parametrize(
+    "wave, rest, halves, least",
+    [(40, 0.5, True, 80), (100, 0.02, False, 10_000)],
+    ids=["half a message", "ten thousand that say nothing"],
+)
+def test_slow_writers_are_served_beside_a_crowd_that_never_finishes_a_message(wave, rest, halves, least):
     async def work():
         before = descriptors()
         taker = Taker()
@@ -93,7 +98,7 @@
         async def stranger(number):
             nonlocal told_off
             client = await connect(server)
-            client.writer.write(b"" if number % 2 else b"*5\r\n$7\r\nOUT")
+            client.writer.write(b"" if number % 2 or not halves else b"*5\r\n$7\r\nOUT")
             try:
                 said = await client.reader.read()
             except ConnectionError:
@@ -103,10 +108,10 @@
 
         async def flood():
             number = 0
-            while not over.is_set():
-                crowd.extend(asyncio.ensure_future(stranger(number + n)) for n in range(40))
-                number += 40
-                await asyncio.sleep(0.5)
+            while not over.is_set() or number < least:
+                crowd.extend(asyncio.ensure_future(stranger(number + n)) for n in range(wave))
+                number += wave
+                await asyncio.sleep(rest)
             await asyncio.gather(*crowd)
             return number
 
@@ -133,7 +138,7 @@
         number = await flooding
         taking.cancel()
         assert lines == [b"+OK\r\n"] * 6, "a true client was closed, or shut out"
-        assert number >= 80 and told_off == number
+        assert number >= least and told_off == number
         server.stop_listening()
         while server.clients:
             server.finish()
--- a/tests/test_new_settings.py
+++ b/tests/test_new_settings.py
@@ -238,3 +238,23 @@
         assert process.returncode == 2 and b"ROUTER_CONFIG" in error
 
     run(work())
+
+
+def test_sighup_twice_at_once_takes_the_newest_file_whole(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        def express(told):
+            told["settings"]["categories"].append(EXPRESS)
+
+        def only_pay(told):
+            told["settings"]["categories"] = [PAY | WORTH]
+
+        change(program, express)
+        change(program, only_pay)
+        client = await program.client()
+        while not (await client.add(b"m1", "note")).startswith(b"-ERR"):
+            client = await program.client()
+            await asyncio.sleep(0.02)
+        client = await program.client()
+        assert await client.add(b"m2", "pay", 24000) == b"+OK\r\n"
+        assert (await client.add(b"m3", "express")).startswith(b"-ERR")
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -512,3 +512,50 @@
         assert (await bench.answers.get()) == TAKEN and (await bench.answers.get()).what == "refused"
         assert held == {path: path.read_bytes() for path in (tmp_path / "state").iterdir() if path.is_file()}
         os.close(lock)
+
+
+def test_an_unsafe_call_that_is_out_for_longer_than_the_old_process_may_live_is_failed_once(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        client = await pair.client()
+        assert await client.add(b"pay", "pay", 24000) == b"+OK\r\n"
+        await pair.partner.next()
+        await pair.second()
+        await pair.ready()
+        old, _ = pair.others[0]
+        old.send_signal(signal.SIGTERM)
+        await pair.log_line(" is ready on ")
+        assert await asyncio.wait_for(old.wait(), 3.7) == 0, "it did not end by itself before SIGKILL"
+        assert await pair.notice() == {"ref": "pay", "result": "dead"}
+        assert pair.partner.requests.empty()
+
+
+def test_a_ban_holds_over_an_upgrade_and_a_list_without_the_endpoint_and_with_it_again(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        async def watch():
+            while not (request := await pair.platform.next()).target.startswith("/discovery"):
+                request.answer(204)
+            request.start_watch()
+            return request
+
+        row = pair.config()["known"]["servers"][0]
+        await watch()
+        assert await pair.say(b"DETACH e1") == b"ACK\n"
+        await pair.second()
+        await pair.ready()
+        pair.others[0][0].send_signal(signal.SIGTERM)
+        await pair.log_line(" is ready on ")
+        news = await watch()
+        news.chunk(json.dumps({"version": 50, "full": False, "servers": [row | {"state": "DELETED"}]}))
+        while (await pair.figures())["hosts_listed"]:
+            await asyncio.sleep(0.01)
+        news.chunk(json.dumps({"version": 51, "full": False, "servers": [row]}))
+        while (await pair.figures())["hosts_listed"] != 1:
+            await asyncio.sleep(0.01)
+        client = await pair.client()
+        assert await client.add(b"m1") == b"+OK\r\n"
+        await asyncio.sleep(0.3)
+        assert pair.partner.requests.empty(), "the ban went with the list"
+        assert await pair.say(b"ATTACH e1") == b"ACK\n"
+        (await pair.partner.next()).answer(200)
