--- a/tests/test_new_settings.py
+++ b/tests/test_new_settings.py
@@ -10,12 +10,30 @@
 from doubles import UNSAFE as PAY
 from doubles import WORTH, run
 from hypothesis import given
+from hypothesis import settings as budget
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from test_benchlink import TOLD
 from test_succession import Pair
 
+from crowpier import Dispatcher
 from crowpier.benchlink import settings_of
-from crowpier.interface import Effect, Entry, MessageClass, Outcome, Reconfigured, Settings
+from crowpier.interface import (
+    Arrived,
+    AttemptEnded,
+    Effect,
+    Entry,
+    Fail,
+    Listed,
+    ListKind,
+    MessageClass,
+    Outcome,
+    Reconfigured,
+    Refuse,
+    Reminded,
+    Send,
+    Settings,
+)
 from rushhitch.config.history import History, lacking
 
 
@@ -258,3 +276,81 @@
         client = await program.client()
         assert await client.add(b"m2", "pay", 24000) == b"+OK\r\n"
         assert (await client.add(b"m3", "express")).startswith(b"-ERR")
+
+
+class SwapMachine(RuleBasedStateMachine):
+    """Settings change at any time between arrivals, answers and waits: each message is sent as the terms say
+    that it was taken under, and has one end."""
+
+    NAMES = ("a", "b", "c")
+
+    def __init__(self):
+        super().__init__()
+        self.now, self.message = 1000.0, 0
+        self.in_force = self.settings({"a": Effect.SAFE, "b": Effect.UNSAFE}, 3)
+        self.dispatcher = Dispatcher(self.in_force, 7)
+        self.terms, self.sent, self.out, self.ran, self.ended = {}, {}, {}, set(), set()
+        self.feed(Listed(ListKind.FULL, 1, (Entry("e1", 1), Entry("e2", 1))))
+
+    @staticmethod
+    def settings(effects, attempts):
+        made = tuple(MessageClass(name, 1500, 6000, effect=effect) for name, effect in effects.items())
+        return classes(classes=made, max_attempts=attempts, slots=16, max_held=100)
+
+    def feed(self, *events):
+        for action in self.dispatcher.handle(self.now, list(events)):
+            if isinstance(action, Send):
+                cls, attempts = self.terms[action.message]
+                number = self.sent[action.message] = self.sent.get(action.message, 0) + 1
+                assert action.message not in self.ended, "sent after its end"
+                assert number <= attempts, "more attempts than it was taken under"
+                assert cls is Effect.SAFE or action.message not in self.ran, "an unsafe message went again"
+                self.out[action.message] = (number - 1, action.endpoint)
+            elif isinstance(action, (Fail, Refuse)):
+                assert action.message not in self.ended, "a second end"
+                self.ended.add(action.message)
+
+    @rule(
+        effects=st.dictionaries(
+            st.sampled_from(NAMES), st.sampled_from([Effect.SAFE, Effect.UNSAFE]), min_size=1
+        ),
+        attempts=st.integers(1, 4),
+    )
+    def swap(self, effects, attempts):
+        self.in_force = self.settings(effects, attempts)
+        self.feed(Reconfigured(self.in_force))
+
+    @rule(choice=st.integers(0, 2))
+    def hand_in(self, choice):
+        position = choice % len(self.in_force.classes)
+        self.message += 1
+        self.terms[self.message] = (self.in_force.classes[position].effect, self.in_force.max_attempts)
+        self.feed(Arrived(self.message, position, 1, 6000.0))
+
+    @rule(outcome=st.sampled_from([Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.CONNECT_FAILED]))
+    def answer(self, outcome):
+        for message, (attempt, endpoint) in list(self.out.items()):
+            del self.out[message]
+            if not outcome.never_ran:
+                self.ran.add(message)
+            over = outcome is Outcome.OK or message in self.ended
+            if outcome is Outcome.OK:
+                self.ended.add(message)
+            self.feed(AttemptEnded(message, attempt, endpoint, outcome, 20.0, over))
+
+    @rule(span=st.floats(1.0, 7000.0))
+    def wait(self, span):
+        self.now += span
+        self.feed(Reminded(0))
+
+    @invariant()
+    def no_class_is_kept_that_nobody_needs(self):
+        held = {message.cls.name for message in self.dispatcher.messages.values()}
+        known = {cls.name for cls in self.in_force.classes} | held
+        assert known <= set(self.dispatcher.usual)
+
+
+SwapMachine.TestCase.settings = budget(
+    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestSwaps = SwapMachine.TestCase
