--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -228,7 +228,7 @@
         bench.node.detach("e1")  # before the turn that would send it: the module hears of it last
         assert await bench.answers.get() == TAKEN
         await asyncio.sleep(0.1)
-        assert bench.partner.requests.empty()
+        assert bench.partner.requests.empty() and bench.partner.connections == 0
         bench.offer(Offer(b"m2", "note", 7, 6000.0, b""))
         bench.node.attach("e1")
         for _ in range(2):
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -559,3 +559,23 @@
         assert pair.partner.requests.empty(), "the ban went with the list"
         assert await pair.say(b"ATTACH e1") == b"ACK\n"
         (await pair.partner.next()).answer(200)
+
+
+def test_an_unsafe_call_that_the_old_process_sees_refused_is_sent_again_by_the_new_one(tmp_path):
+    @with_pair(tmp_path)
+    async def _(pair):
+        client = await pair.client()
+        assert await client.add(b"pay", "pay", 24000) == b"+OK\r\n"
+        out = await pair.partner.next()
+        await pair.second()
+        await pair.ready()
+        pair.others[0][0].send_signal(signal.SIGTERM)
+        await pair.log_line(" is ready on ")
+        out.answer(429, X_Come_Back_Ms="400")  # it never ran
+        began = asyncio.get_running_loop().time()
+        again = await pair.partner.next()
+        assert again.headers["x-correlation-id"] == "pay"
+        assert asyncio.get_running_loop().time() - began >= 0.39, (
+            "the wait that the old process heard was lost"
+        )
+        again.answer(200)
