--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -18,6 +18,7 @@
 from rushhitch.journal import Journal
 from rushhitch.journal.files import Files
 from rushhitch.journal.side import DRAFT
+from rushhitch.partners.codec import Attempt
 
 FIRST, SECOND = Entry("e1", 1), Entry("e2", 1)
 
@@ -334,3 +335,16 @@
     assert Bans(journal).ids == set()
     assert "what it held is unknown" in caplog.text
     journal.close()
+
+
+def test_a_send_that_waited_for_the_disk_while_the_ban_came_opens_no_connection(tmp_path):
+    @with_bans(tmp_path)
+    async def _(bench):
+        results, endpoints = [], bench.node.endpoints
+        endpoints.report = results.append
+        bench.node.detach("e1")
+        due = endpoints.loop.time() + 5.0
+        endpoints.send("e1", [Attempt(1, 0, b"m1", b"", due, due, "note", b"", 0.0)])
+        await asyncio.sleep(0.05)
+        assert [result.outcome for result in results] == [Outcome.MOOT]
+        assert bench.partner.connections == 0 and not endpoints.calls
