One relay for operators' words between two processes; the takeover loses what nobody used

Read again: ask and said were written twice, on either side (Relay now); Passed, early and owns were of no use; a process that waited for a folder went on with a file that may have changed since.

--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -37,7 +37,7 @@
 from rushhitch.planning.counts import LaneCounts
 from rushhitch.succession.handover import Handover
 from rushhitch.succession.states import Do
-from rushhitch.succession.takeover import Inheritance, Passed, Takeover
+from rushhitch.succession.takeover import Inheritance, Takeover
 
 if TYPE_CHECKING:
     from rushhitch.cloudevents.sinks import Sinks
@@ -67,7 +67,7 @@
     desk = Desk()
     control = await open_control(desk, configuration)
     takeover = Takeover(configuration, desk.promised)
-    desk.relay = takeover.relay
+    desk.relay = takeover.relay.ask
     inheriting = loop.create_task(takeover.inherit())
     stopped = loop.create_task(stop.wait())
     await asyncio.wait((inheriting, stopped), return_when=asyncio.FIRST_COMPLETED)
@@ -77,7 +77,7 @@
         log.info("%s ends before it has taken over", configuration.name)
         return
     inheritance = inheriting.result()
-    if inheritance.listeners:  # the file may have changed since it was read
+    if inheritance.waited:  # the file may have changed since it was read
         configuration = configuration_in_force(os.environ)
     service = Service(configuration, inheritance, desk, forward)
     try:
@@ -176,10 +176,6 @@
         """What the process before this one still tells: connections, and how its calls end."""
         node = self.node
 
-        def adopt(passed: Passed) -> None:
-            words = (passed.front, passed.tail, passed.asked, passed.heard_at)
-            self.clients.adopt(passed.sock, *words)
-
         def ended(told: dict[str, Any]) -> None:
             node.loan_ended(
                 int(told["message"]),
@@ -191,8 +187,8 @@
                 told["later"],
             )
 
-        takeover.adopt, takeover.ended, takeover.dead = adopt, ended, node.lose_loans
-        takeover.operate, node.call_back = self.handover.operate, takeover.call_back
+        takeover.adopt, takeover.ended, takeover.dead = self.clients.adopt, ended, node.lose_loans
+        takeover.relay.operate, node.call_back = self.handover.relay.operate, takeover.call_back
         takeover.go_on()
 
     async def end(self) -> None:
@@ -201,7 +197,7 @@
         self.desk.ready = False
         if self.handover.incumbent.told_to_end() is Do.YIELD:
             log.info("%s hands over, %d messages held", self.configuration.name, len(self.node.by_id))
-            self.desk.relay = self.handover.relay
+            self.desk.relay = self.handover.relay.ask
             self.platform.stop()
             if self.reloading is not None:
                 self.reloading.cancel()  # the settings' file is another process's soon
--- a/rushhitch/succession/channel.py
+++ b/rushhitch/succession/channel.py
@@ -22,6 +22,7 @@
 RETRY_S = 0.01  # until another try where the kernel holds too many descriptors on their way
 LAST, MORE = b"\x00", b"\x01"  # first byte of a packet: is it the end of its message?
 MOST_PATH = 100  # bytes: the address of a Unix socket has room for 107
+GONE = b"NAK the process that answers this has gone: ask the other one\n"
 CREDENTIALS = struct.Struct("3i")
 
 Heard = Callable[[dict[str, Any], list[int]], None]
@@ -123,6 +124,49 @@
         self.loop.call_soon(self.lost)
 
 
+class Relay:
+    """Operators' words that the other process answers, over one channel, and those of the other that this one
+    does. `operate` carries one out here."""
+
+    def __init__(self, operate: Callable[[bytes], bytes]) -> None:
+        self.operate = operate
+        self.channel: Channel | None = None
+        self.asked: dict[int, asyncio.Future[bytes]] = {}
+        self.asks = 0
+
+    def ask(self, line: bytes) -> asyncio.Future[bytes]:
+        """Its answer, or a no where the other process has gone."""
+        self.asks += 1
+        future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        if self.channel is None or not self.channel.open:
+            future.set_result(GONE)
+            return future
+        self.asked[self.asks] = future
+        self.channel.send({"t": "ask", "n": self.asks, "line": line.decode("ascii", "replace")})
+        return future
+
+    def heard(self, told: dict[str, Any]) -> bool:
+        """Whether the message was one of these."""
+        if told.get("t") == "ask" and self.channel is not None:
+            said = self.operate(str(told["line"]).encode())
+            self.channel.send({"t": "said", "n": told["n"], "text": said.decode()})
+        elif told.get("t") == "said":
+            future = self.asked.pop(told["n"], None)
+            if future is not None and not future.done():
+                future.set_result(str(told["text"]).encode())
+        else:
+            return False
+        return True
+
+    def lost(self) -> None:
+        """The channel has ended, and with it all that was asked."""
+        self.channel = None
+        for future in self.asked.values():
+            if not future.done():
+                future.set_result(GONE)
+        self.asked.clear()
+
+
 def close_all(fds: list[int]) -> None:
     for fd in fds:
         os.close(fd)
--- a/rushhitch/succession/handover.py
+++ b/rushhitch/succession/handover.py
@@ -14,7 +14,7 @@
 from rushhitch.fronts.listener import Clients
 from rushhitch.node import Node
 from rushhitch.succession import channel as channels
-from rushhitch.succession.channel import Channel
+from rushhitch.succession.channel import Channel, Relay
 from rushhitch.succession.states import VERSION, Do, Incumbent, Old
 
 log = logging.getLogger(__name__)
@@ -36,15 +36,13 @@
         operate: Callable[[bytes], bytes],
     ) -> None:
         self.folder, self.node, self.clients = folder, node, clients
-        self.version, self.operate = version, operate
+        self.version, self.relay = version, Relay(operate)
         self.loop = asyncio.get_running_loop()
         self.incumbent = Incumbent()
         self.sock: socket.socket | None = None
         self.channel: Channel | None = None  # to the successor
         self.strangers: set[Channel] = set()  # who have not said what they want
         self.idle = asyncio.Event()  # no call is out here any more
-        self.asked: dict[int, asyncio.Future[bytes]] = {}  # operators' words, on their way to the new owner
-        self.asks = 0
 
     def start(self) -> None:
         """Where the folder takes no socket, upgrades go by the lock alone."""
@@ -93,14 +91,10 @@
             if self.incumbent.ready() is Do.PROMISE:
                 channel.send({"t": "promised"})
                 log.info("a successor is ready: SIGTERM hands over to it")
-        elif word == "ask":
-            said = self.operate(str(told["line"]).encode())
-            channel.send({"t": "said", "n": told["n"], "text": said.decode()})
-        elif word == "said":
-            if (future := self.asked.pop(told["n"], None)) is not None and not future.done():
-                future.set_result(str(told["text"]).encode())
         elif word == "cancel":
             self.node.endpoints.cancel(int(told["message"]), int(told["attempt"]))
+        else:
+            self.relay.heard(told)
 
     def join(self, channel: Channel, version: object) -> None:
         self.strangers.discard(channel)
@@ -113,7 +107,7 @@
             channel.send({"t": "no", "busy": busy})
             self.loop.call_later(HELLO_S, channel.close)
             return
-        self.channel = channel
+        self.channel = self.relay.channel = channel
         listeners, fronts = self.clients.listeners, list(self.clients.fronts)
         info = self.node.info()
         told = {"t": "welcome", "version": VERSION, "fronts": fronts}
@@ -126,27 +120,13 @@
         if channel is not self.channel:
             return
         before, self.channel = self.incumbent.state, None
-        for future in self.asked.values():
-            if not future.done():
-                future.set_result(b"NAK the process that took over has gone\n")
-        self.asked.clear()
+        self.relay.lost()
         if self.incumbent.lost() is Do.END:
             log.error("the successor has gone after it was given all: a plain start finds it in the journal")
             self.idle.set()
         elif before is not self.incumbent.state:
             log.warning("the successor has gone: this process serves on")
 
-    def relay(self, line: bytes) -> asyncio.Future[bytes]:
-        """An operator's word for the process that owns all now."""
-        self.asks += 1
-        future: asyncio.Future[bytes] = self.loop.create_future()
-        if self.channel is None:
-            future.set_result(b"NAK the process that took over has gone\n")
-            return future
-        self.asked[self.asks] = future
-        self.channel.send({"t": "ask", "n": self.asks, "line": line.decode("ascii", "replace")})
-        return future
-
     async def hand_over(self, leave_at: float) -> bool:
         """All of it goes to the successor; then wait for the calls that are out. False where the disk does
         not take what the successor needs: then this process ends as without one."""
--- a/rushhitch/succession/takeover.py
+++ b/rushhitch/succession/takeover.py
@@ -13,8 +13,8 @@
 from rushhitch.config.platform import BadConfiguration, Configuration
 from rushhitch.journal import Held, Journal, JournalError, Sync
 from rushhitch.succession import channel as channels
-from rushhitch.succession.channel import Channel
-from rushhitch.succession.states import VERSION, Do, New, Successor
+from rushhitch.succession.channel import GONE, Channel, Relay
+from rushhitch.succession.states import VERSION, Do, Successor
 
 log = logging.getLogger(__name__)
 
@@ -22,17 +22,6 @@
 ANSWER_S = 2.0  # the holder answers by then, or is waited for
 
 
-@dataclass(slots=True)
-class Passed:
-    """A client's connection, and what was read of its next request."""
-
-    sock: socket.socket
-    front: str
-    tail: bytes
-    asked: bool
-    heard_at: float
-
-
 @dataclass(slots=True)
 class Inheritance:
     """What this process starts from: its folder, and what another has handed over, if one has."""
@@ -40,6 +29,7 @@
     journal: Journal
     listeners: dict[str, socket.socket] = field(default_factory=dict)  # by front
     told: dict[str, Any] | None = None  # the old one's word at the handover
+    waited: bool = False  # another process held the folder first
 
 
 class Takeover:
@@ -53,13 +43,10 @@
         self.channel: Channel | None = None
         self.news: asyncio.Queue[tuple[dict[str, Any], list[int]] | None] = asyncio.Queue()
         self.following = False  # the owner hears of clients and calls
-        self.early: list[tuple[dict[str, Any], list[int]] | None] = []
-        self.asked: dict[int, asyncio.Future[bytes]] = {}
-        self.asks = 0
-        self.adopt: Callable[[Passed], None] = lambda passed: passed.sock.close()
+        self.relay = Relay(lambda line: GONE)
+        self.adopt: Callable[[socket.socket, str, bytes, bool, float], None] = lambda sock, *_: sock.close()
         self.ended: Callable[[dict[str, Any]], None] = lambda told: None
         self.dead: Callable[[], None] = lambda: None
-        self.operate: Callable[[bytes], bytes] = lambda line: b"NAK not ready\n"
 
     async def inherit(self) -> Inheritance:
         """Until this process owns the folder. Raises `BadConfiguration` where it never will."""
@@ -67,7 +54,7 @@
         while True:
             if (journal := self.take_folder()) is not None:
                 self.successor.folder_free()
-                return Inheritance(journal)
+                return Inheritance(journal, waited=waiting)
             if await self.join() is Do.PREPARE:
                 return await self.prepared()
             if not waiting:
@@ -105,7 +92,7 @@
         if told.get("t") == "welcome":
             do = self.successor.welcomed(told.get("version"))
             if do is Do.PREPARE:
-                self.welcome = told
+                self.welcome, self.relay.channel = told, channel
                 self.listeners = {
                     front: socket.socket(fileno=fd) for front, fd in zip(told["fronts"], fds, strict=False)
                 }
@@ -136,19 +123,19 @@
             if told.get("t") == "yield" and self.successor.yielded() is Do.TAKE:
                 journal = self.take_folder(fds[0])
                 assert journal is not None, "its lock was handed over"
-                return Inheritance(journal, self.listeners, told)
+                return Inheritance(journal, self.listeners, told, waited=True)
             channels.close_all(fds)
         self.successor.lost()
+        self.relay.lost()
         log.warning("the process before this one has gone without handing over: its folder is taken up")
         while (journal := self.take_folder()) is None:
             await asyncio.sleep(TRY_S / 10.0)
-        return Inheritance(journal, self.listeners)
+        return Inheritance(journal, self.listeners, waited=True)
 
     def heard(self, told: dict[str, Any], fds: list[int]) -> None:
         if told.get("t") == "said":
             channels.close_all(fds)
-            if (future := self.asked.pop(told["n"], None)) is not None and not future.done():
-                future.set_result(str(told["text"]).encode())
+            self.relay.heard(told)
         elif self.following:
             self.follow(told, fds)
         else:
@@ -158,23 +145,15 @@
         """What comes after the handover."""
         word = told.get("t")
         if word == "client" and fds:
+            tail, heard_at = str(told["tail"]).encode("latin-1"), float(told["heard_at"])
             sock = socket.socket(fileno=fds[0])
-            self.adopt(
-                Passed(
-                    sock,
-                    str(told["front"]),
-                    str(told["tail"]).encode("latin-1"),
-                    bool(told["asked"]),
-                    float(told["heard_at"]),
-                )
-            )
+            self.adopt(sock, str(told["front"]), tail, bool(told["asked"]), heard_at)
             return
         channels.close_all(fds)
         if word == "ended":
             self.ended(told)
-        elif word == "ask" and self.channel is not None:
-            said = self.operate(str(told["line"]).encode())
-            self.channel.send({"t": "said", "n": told["n"], "text": said.decode()})
+        else:
+            self.relay.heard(told)
 
     def go_on(self) -> None:
         """The owner hears of all that comes from now on, and of what has come."""
@@ -196,6 +175,7 @@
     def lost(self) -> None:
         """The old one has ended: what it had out and has not told of may have run."""
         self.channel = None
+        self.relay.lost()
         if self.successor.lost() is Do.LOSE_CALLS:
             self.dead()
 
@@ -203,22 +183,7 @@
         if self.channel is not None:
             self.channel.send({"t": "cancel", "message": message, "attempt": attempt})
 
-    def relay(self, line: bytes) -> asyncio.Future[bytes]:
-        """An operator's word for the process that owns all still."""
-        self.asks += 1
-        future: asyncio.Future[bytes] = self.loop.create_future()
-        if self.channel is None or not self.channel.open:
-            future.set_result(b"NAK the process that serves has gone\n")
-            return future
-        self.asked[self.asks] = future
-        self.channel.send({"t": "ask", "n": self.asks, "line": line.decode("ascii", "replace")})
-        return future
-
     def give_up(self) -> None:
         """This process ends before it has taken over; the old one serves on."""
         if self.channel is not None:
             self.channel.close()
-
-    @property
-    def owns(self) -> bool:
-        return self.successor.state in (New.TAKING, New.SERVING)
--- a/tests/test_new_settings.py
+++ b/tests/test_new_settings.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from test_benchlink import TOLD
-from test_succession import Pair
+from test_succession import Pair, with_pair
 
 from crowpier import Dispatcher
 from crowpier.benchlink import settings_of
@@ -127,21 +127,6 @@
 # The program
 
 
-def with_program(folder):
-    def decorate(test):
-        async def work():
-            program = await Pair(folder).surroundings()
-            await program.start()
-            try:
-                await test(program)
-            finally:
-                await program.end()
-
-        run(work())
-
-    return decorate
-
-
 def change(program, edit):
     """Replace the file, and tell the program."""
     told = program.config()
@@ -170,7 +155,7 @@
 
 
 def test_files_that_are_broken_change_nothing_and_are_counted(tmp_path):
-    @with_program(tmp_path)
+    @with_pair(tmp_path)
     async def _(program):
         client = await program.client()
         for count, text in enumerate(BROKEN.values(), 1):
@@ -193,7 +178,7 @@
 
 
 def test_a_class_is_added_and_another_dropped_and_open_messages_go_on(tmp_path):
-    @with_program(tmp_path)
+    @with_pair(tmp_path)
     async def _(program):
         client = await program.client()
         assert await client.add(b"old", "note") == b"+OK\r\n"
@@ -216,7 +201,7 @@
 
 
 def test_a_message_of_a_dropped_class_goes_on_after_sigkill_under_the_new_file(tmp_path):
-    @with_program(tmp_path)
+    @with_pair(tmp_path)
     async def _(program):
         client = await program.client()
         assert await client.add(b"old", "note") == b"+OK\r\n"
@@ -237,7 +222,7 @@
 
 
 def test_a_start_while_the_file_is_broken_takes_the_last_good_one(tmp_path):
-    @with_program(tmp_path)
+    @with_pair(tmp_path)
     async def _(program):
         await program.kill()
         (tmp_path / "config.json").write_text("")
@@ -259,7 +244,7 @@
 
 
 def test_sighup_twice_at_once_takes_the_newest_file_whole(tmp_path):
-    @with_program(tmp_path)
+    @with_pair(tmp_path)
     async def _(program):
         def express(told):
             told["settings"]["categories"].append(EXPRESS)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -246,6 +246,15 @@
         while await self.say(b"PING") != b"ACK\n":
             await asyncio.sleep(0.02)
 
+    async def upgrade(self):
+        """The second takes over; gives the first, which may still have calls out."""
+        await self.second()
+        await self.ready()
+        old = self.others[-1][0]
+        old.send_signal(signal.SIGTERM)
+        await self.log_line(" is ready on ")
+        return old
+
     async def end(self):
         for process in [*(process for process, _ in self.others), self.process]:
             if process is not None and process.returncode is None:
@@ -372,10 +381,7 @@
         client = await pair.client()
         assert await client.add(b"safe") == b"+OK\r\n"
         await pair.partner.next()
-        await pair.second()
-        await pair.ready()
-        pair.others[0][0].send_signal(signal.SIGTERM)
-        await pair.log_line(" is ready on ")
+        await pair.upgrade()
         await pair.kill()
         await asyncio.wait_for(pair.others[0][0].wait(), 5.0)
         pair.others.clear()
@@ -391,11 +397,7 @@
         client = await pair.client()
         assert await client.add(b"pay", "pay", 24000) == b"+OK\r\n"
         await pair.partner.next()
-        await pair.second()
-        await pair.ready()
-        old, _ = pair.others[0]
-        old.send_signal(signal.SIGTERM)
-        await pair.log_line(" is ready on ")
+        old = await pair.upgrade()
         old.kill()
         assert await pair.notice() == {"ref": "pay", "result": "dead"}
         assert pair.partner.requests.empty(), "an unsafe message went twice"
@@ -440,10 +442,7 @@
     async def _(pair):
         client = await pair.client()
         (tmp_path / "config.json").write_text('{"name":')
-        await pair.second()
-        await pair.ready()
-        pair.others[0][0].send_signal(signal.SIGTERM)
-        await pair.log_line(" is ready on ")
+        await pair.upgrade()
         assert any("last good configuration is used" in line for line in pair.log)
         assert await client.add(b"m1") == b"+OK\r\n"
 
@@ -466,10 +465,7 @@
         clients = [await pair.client() for _ in range(200)]
         for client in clients:
             assert await client.ask(b"PING") == b"+PONG\r\n"
-        await pair.second()
-        await pair.ready()
-        pair.others[0][0].send_signal(signal.SIGTERM)
-        await pair.log_line(" is ready on ")
+        await pair.upgrade()
         for client in clients:
             assert await client.ask(b"PING") == b"+PONG\r\n"
         assert await asyncio.wait_for(pair.others[0][0].wait(), 5.0) == 0
@@ -520,11 +516,7 @@
         client = await pair.client()
         assert await client.add(b"pay", "pay", 24000) == b"+OK\r\n"
         await pair.partner.next()
-        await pair.second()
-        await pair.ready()
-        old, _ = pair.others[0]
-        old.send_signal(signal.SIGTERM)
-        await pair.log_line(" is ready on ")
+        old = await pair.upgrade()
         assert await asyncio.wait_for(old.wait(), 10.0) == 0, "it did not end by itself"
         assert await pair.notice() == {"ref": "pay", "result": "dead"}
         assert pair.partner.requests.empty()
@@ -542,10 +534,7 @@
         row = pair.config()["known"]["servers"][0]
         await watch()
         assert await pair.say(b"DETACH e1") == b"ACK\n"
-        await pair.second()
-        await pair.ready()
-        pair.others[0][0].send_signal(signal.SIGTERM)
-        await pair.log_line(" is ready on ")
+        await pair.upgrade()
         news = await watch()
         news.chunk(json.dumps({"version": 50, "full": False, "servers": [row | {"state": "DELETED"}]}))
         while (await pair.figures())["hosts_listed"]:
@@ -567,10 +556,7 @@
         client = await pair.client()
         assert await client.add(b"pay", "pay", 24000) == b"+OK\r\n"
         out = await pair.partner.next()
-        await pair.second()
-        await pair.ready()
-        pair.others[0][0].send_signal(signal.SIGTERM)
-        await pair.log_line(" is ready on ")
+        await pair.upgrade()
         out.answer(429, X_Come_Back_Ms="400")  # it never ran
         began = asyncio.get_running_loop().time()
         again = await pair.partner.next()
