Bans and the channel's socket are each changed in one place; tests share one bench

Read again: detach and attach repeated their checks, listen and connect their care for long paths, the tests' fixtures each other. No check changed; the message of a ban that cannot be kept is one for both ways.

--- a/rushhitch/node.py
+++ b/rushhitch/node.py
@@ -235,32 +235,29 @@
     def detach(self, endpoint: str) -> None:
         """Take the endpoint out; raises `Refused` and changes nothing where that cannot be kept. When it
         returns, no call can start there: the module hears of it in this turn, the sockets know it now."""
-        assert self.bans is not None, "there is no control address"
-        if endpoint not in self.entries and endpoint not in self.left and endpoint not in self.bans.ids:
-            raise Refused(f"no endpoint is called {endpoint}: INFO tells how many there are")
-        try:
-            self.bans.add(endpoint)
-        except OSError as error:
-            raise Refused(f"the ban cannot be kept: {error}") from None
+        self.change_bans(endpoint, lambda bans: bans.add(endpoint))
         self.endpoints.ban(endpoint)
         self.note(api.Detached(endpoint))
         log.info("endpoint %s is taken out by operators", endpoint)
 
     def attach(self, endpoint: str) -> None:
         """The endpoint may serve again; one that is not out stays as it is."""
-        assert self.bans is not None, "there is no control address"
-        if endpoint not in self.bans.ids:
-            if endpoint not in self.entries and endpoint not in self.left:
-                raise Refused(f"no endpoint is called {endpoint}, and none of that name is out")
+        self.change_bans(endpoint, lambda bans: bans.remove(endpoint))
+        if endpoint not in self.endpoints.banned:
             return
-        try:
-            self.bans.remove(endpoint)
-        except OSError as error:
-            raise Refused(f"the end of the ban cannot be kept: {error}") from None
         self.endpoints.unban(endpoint)
         self.note(api.Attached(endpoint))
         log.info("endpoint %s is given back by operators", endpoint)
 
+    def change_bans(self, endpoint: str, change: Callable[[Bans], None]) -> None:
+        assert self.bans is not None, "there is no control address"
+        if not any(endpoint in known for known in (self.entries, self.left, self.bans.ids)):
+            raise Refused(f"no endpoint is called {endpoint}: INFO tells how many there are")
+        try:
+            change(self.bans)
+        except OSError as error:
+            raise Refused(f"the ban, or its end, cannot be kept: {error}") from None
+
     def info(self) -> dict[str, Any]:
         """The figures as of now; what was handed over is told by the process that has it."""
         held = 0 if self.yielded else len(self.by_id)
--- a/rushhitch/succession/channel.py
+++ b/rushhitch/succession/channel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import json
 import logging
@@ -10,7 +11,7 @@
 import socket
 import struct
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -172,52 +173,40 @@
         os.close(fd)
 
 
-class Place:
-    """The address in the folder. A path that is too long for it goes by the folder's descriptor."""
-
-    def __init__(self, folder: Path) -> None:
-        self.path, self.fd = folder / NAME, -1
-        self.name = str(self.path)
-        if len(self.name.encode()) > MOST_PATH:
-            self.fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-            self.name = f"/proc/self/fd/{self.fd}/{NAME}"
-
-    def close(self) -> None:
-        if self.fd >= 0:
-            os.close(self.fd)
-            self.fd = -1
-
-
-def listen(folder: Path) -> socket.socket:
-    """The old one's socket, for the holder of the folder's lock. An `OSError` where it cannot be."""
-    place = Place(folder)
+@contextlib.contextmanager
+def socket_at(folder: Path) -> Iterator[tuple[socket.socket, str]]:
+    """A socket and the address in the folder. One too long goes by the folder's descriptor."""
+    name, fd = str(folder / NAME), -1
+    if len(name.encode()) > MOST_PATH:
+        fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        name = f"/proc/self/fd/{fd}/{NAME}"
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     try:
-        place.path.unlink(missing_ok=True)  # of one that was killed
-        sock.bind(place.name)
-        os.chmod(place.path, 0o600)
-        sock.listen(4)
-        sock.setblocking(False)
+        yield sock, name
     except BaseException:
         sock.close()
         raise
     finally:
-        place.close()
+        if fd >= 0:
+            os.close(fd)
+
+
+def listen(folder: Path) -> socket.socket:
+    """The old one's socket, for the holder of the folder's lock. An `OSError` where it cannot be."""
+    with socket_at(folder) as (sock, name):
+        (folder / NAME).unlink(missing_ok=True)  # of one that was killed
+        sock.bind(name)
+        os.chmod(folder / NAME, 0o600)
+        sock.listen(4)
+        sock.setblocking(False)
     return sock
 
 
 def connect(folder: Path) -> socket.socket:
     """To the old one; an `OSError` where nobody is there."""
-    place = Place(folder)
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    try:
+    with socket_at(folder) as (sock, name):
         sock.settimeout(1.0)
-        sock.connect(place.name)
-    except BaseException:
-        sock.close()
-        raise
-    finally:
-        place.close()
+        sock.connect(name)
     return sock
 
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -5,11 +5,10 @@
 
 import pytest
 from bed import SAFE, UNSAFE, Bed
-from doubles import run
 from hypothesis import settings as budget
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-from test_node import OFFER, Bench
+from test_node import OFFER, with_bench
 
 from crowpier.interface import Attached, Detached, Entry, ListKind, Outcome, Remember, Send, State
 from rushhitch.control.bans import NAME, Bans
@@ -179,25 +178,8 @@
 TestBans = BanMachine.TestCase
 
 
-def with_bans(folder):
-    """A node of the tests, with its bans in the folder."""
-
-    def decorate(test):
-        async def work():
-            bench = await Bench().start(folder)
-            bench.node.bans = Bans(bench.journal)
-            try:
-                await test(bench)
-            finally:
-                bench.journal.close()
-
-        run(work())
-
-    return decorate
-
-
 def test_a_call_whose_connection_is_being_opened_is_not_sent_once_the_answer_was_yes(tmp_path):
-    @with_bans(tmp_path)
+    @with_bench(tmp_path)
     async def _(bench):
         started = []
         connect = bench.node.endpoints.connect
@@ -223,7 +205,7 @@
 
 
 def test_a_send_that_was_decided_in_the_same_turn_does_not_go(tmp_path):
-    @with_bans(tmp_path)
+    @with_bench(tmp_path)
     async def _(bench):
         bench.offer()
         bench.node.detach("e1")  # before the turn that would send it: the module hears of it last
@@ -237,7 +219,7 @@
 
 
 def test_ids_that_nobody_has_are_refused_and_one_that_has_just_left_is_not(tmp_path):
-    @with_bans(tmp_path)
+    @with_bench(tmp_path)
     async def _(bench):
         for operation in (bench.node.detach, bench.node.attach):
             with pytest.raises(Refused, match="no endpoint is called nobody"):
@@ -251,7 +233,7 @@
 
 
 def test_a_ban_that_cannot_be_kept_is_refused_and_changes_nothing(tmp_path, monkeypatch):
-    @with_bans(tmp_path)
+    @with_bench(tmp_path)
     async def _(bench):
         def full(fd, data):
             raise OSError(errno.ENOSPC, "no space")
@@ -338,7 +320,7 @@
 
 
 def test_a_send_that_waited_for_the_disk_while_the_ban_came_opens_no_connection(tmp_path):
-    @with_bans(tmp_path)
+    @with_bench(tmp_path)
     async def _(bench):
         results, endpoints = [], bench.node.endpoints
         endpoints.report = results.append
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,6 +12,7 @@
 from crowpier.benchlink import settings_of
 from crowpier.interface import Arrived, Listed, ListKind, Remembered
 from rushhitch import node as node_module
+from rushhitch.control.bans import Bans
 from rushhitch.fronts.taker import TAKEN, Offer, Reply
 from rushhitch.journal import Journal
 from rushhitch.journal.files import Files
@@ -35,6 +36,7 @@
         self.node = Node(
             settings, Dispatcher(settings, 1), self.journal, lambda *end: self.ends.put_nowait(end)
         )
+        self.node.bans = Bans(self.journal)
         self.row = config["known"]["servers"][0]
         self.node.listed(config["known"], cached=True)
         self.node.resume()
