--- a/rushhitch/cloudevents/mapping.py
+++ b/rushhitch/cloudevents/mapping.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from rushhitch.acknowledgements import Acknowledgement, Verdict
 from rushhitch.cloudevents.events import BadEvent, Event, moment
+from rushhitch.core.acknowledgements import Acknowledgement, Verdict
 
 EXPIRY, KEY = "expirytime", "partitionkey"
 if TYPE_CHECKING:
--- /dev/null
+++ b/rushhitch/core/__init__.py
@@ -0,0 +1,1 @@
+"""One dispatcher's turn: events in, actions out, ids, ends."""
--- a/rushhitch/acknowledgements.py
+++ b/rushhitch/core/acknowledgements.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from rushhitch.fronts.taker import Reply
+from rushhitch.taker import Reply
 
 MOST = 10_000  # ends that are remembered for acknowledgements that still come: 2 MB
 
--- /dev/null
+++ b/rushhitch/core/handing.py
@@ -0,0 +1,90 @@
+"""One process gives all that it has to another, or goes on with what it was given: the core's part of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import astuple, replace
+from typing import Any
+
+from crowpier import learned
+from crowpier.interface import Outcome
+from rushhitch.core.messages import Loan
+from rushhitch.core.node import Node
+from rushhitch.endpoints import Result
+from rushhitch.partners.codec import Attempt
+
+
+class Handing:
+    """The same node on either side: of the process that hands over, or of the one that takes over."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+
+    async def freeze(self) -> bool:
+        """Send nothing more; what is not written whole is called back, and what came in is in the journal.
+        False where the disk does not take it: then nothing can be handed over."""
+        node = self.node
+        node.frozen = True
+        await node.endpoints.freeze()
+        node.turn()
+        await node.committer.quiet()
+        return not node.journal.unsaved
+
+    def yield_all(self, report: Callable[[Result], None]) -> tuple[int, dict[str, Any]]:
+        """Own nothing from now on but the calls that are out, whose results go to `report`. The descriptor
+        that holds the folder, and what the process needs that goes on."""
+        node = self.node
+        now = node.loop.time()
+        loans = [
+            Loan(message, attempt, call.endpoint, id(call), call.started, call.first_due)
+            for (message, attempt), call in node.endpoints.calls.items()
+        ]
+        told = {
+            "learned": learned.export(node.dispatcher),
+            "loans": [astuple(loan) for loan in loans],
+            "waits": [(lane, until) for lane, until in node.endpoints.waits.items() if until > now],
+            "servers": list(node.listing.servers.values()),
+        }
+        node.yielded = True
+        node.endpoints.report = report
+        if node.reminder is not None:
+            node.reminder.cancel()
+        if node.retrying is not None:
+            node.retrying.cancel()
+        for message in node.messages.values():
+            if message.watchdog is not None:
+                message.watchdog.cancel()
+        return node.journal.hand_over(), told
+
+    def inherit_waits(self, waits: Sequence[tuple[int | str, float]]) -> None:
+        node = self.node
+        for lane, until in waits:
+            node.endpoints.waits[lane] = max(node.endpoints.waits.get(lane, 0.0), until)
+
+    def loan_ended(
+        self,
+        message: int,
+        attempt: int,
+        outcome: Outcome,
+        took_ms: float = 0.0,
+        wait_ms: float = 0.0,
+        over: bool = False,
+        later: bool = False,
+    ) -> None:
+        """The earlier process tells how one of its calls ended."""
+        node = self.node
+        loan, held = node.lent.pop((message, attempt), None), node.messages.get(message)
+        if loan is None or held is None:
+            return
+        if wait_ms and (place := node.endpoints.places.get(loan.endpoint)) is not None:
+            self.inherit_waits([(place.lane, node.loop.time() + wait_ms / 1000.0)])
+        kept = held.kept
+        words = (kept.id, kept.body, held.due, held.due, kept.cls, kept.attributes, kept.deadline)
+        result = Result(Attempt(message, attempt, *words), loan.endpoint, outcome, took_ms, wait_ms, over)
+        node.attempt_ended(replace(result, first_due=loan.first_due, later=later))
+
+    def lose_loans(self) -> None:
+        """The earlier process has died: what it had out may have run."""
+        node = self.node
+        for message, attempt in list(node.lent):
+            self.loan_ended(message, attempt, Outcome.RESET)
--- /dev/null
+++ b/rushhitch/core/messages.py
@@ -0,0 +1,43 @@
+"""What the core keeps of a message, and of an attempt that another process carries to its end."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from rushhitch.core.acknowledgements import Verdict
+from rushhitch.endpoints import Result
+from rushhitch.journal import Kept
+from rushhitch.taker import Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Loan:
+    """An attempt that the process before this one carries to its end; times by the clock that both have."""
+
+    message: int
+    attempt: int
+    endpoint: str
+    call: int
+    started: float
+    first_due: float
+
+
+@dataclass(slots=True, eq=False)
+class Message:
+    """A message of this process; `answer` is there until its client has been answered."""
+
+    number: int
+    kept: Kept
+    attempts: int
+    due: float  # when its time is up, by the clock of the event loop, in seconds
+    answer: Answer | None = None
+    enders: list[Answer] = field(default_factory=list)  # those who want to hear its end
+    over: bool = False
+    out: set[int] = field(default_factory=set)
+    handed: bool = False  # the module is done with it; its partner's acknowledgement is to come
+    pending: Result | None = None  # of a call that to the module is out until the acknowledgement comes
+    waiting: bool = False  # the module hears of it anew once its other attempts have ended
+    sink: bytes = b""  # the event's attributes, where its end is to be told to a sink
+    verdict: Verdict | None = None  # one that came before its call had ended
+    watchdog: asyncio.TimerHandle | None = None
--- a/rushhitch/node.py
+++ b/rushhitch/core/node.py
@@ -4,34 +4,39 @@
 
 import asyncio
 import logging
-import math
 import time
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import astuple, dataclass, field, replace
+from dataclasses import replace
 from datetime import UTC, datetime
 from operator import itemgetter
 from typing import TYPE_CHECKING, Any
 
-from crowpier import Dispatcher, learned
+from crowpier import Dispatcher
 from crowpier import interface as api
-from crowpier.interface import Outcome, Settings, State
-from rushhitch.acknowledgements import ACKNOWLEDGED, UNKNOWN, Acknowledgement, Effect, Past, Verdict, effect
+from crowpier.interface import Outcome, Settings
 from rushhitch.config.history import History
-from rushhitch.connection import parse_address
 from rushhitch.control.bans import Bans
-from rushhitch.control.words import Refused
-from rushhitch.ended import KEEP_S, MOST, End, Ended
-from rushhitch.endpoints import PLATFORM, Endpoints, Place, Result
-from rushhitch.figures import Figures
-from rushhitch.fronts.taker import DELIVERED, FAILED, TAKEN, Answer, BadRequest, Offer, Pending, Reply
+from rushhitch.core.acknowledgements import (
+    ACKNOWLEDGED,
+    UNKNOWN,
+    Acknowledgement,
+    Effect,
+    Past,
+    Verdict,
+    effect,
+)
+from rushhitch.core.ended import KEEP_S, MOST, End, Ended
+from rushhitch.core.figures import Figures
+from rushhitch.core.limits import Limits
+from rushhitch.core.listing import Listing
+from rushhitch.core.messages import Loan, Message
+from rushhitch.endpoints import PLATFORM, Endpoints, Result
 from rushhitch.journal import Journal, Kept
 from rushhitch.journal.commit import Committer
 from rushhitch.journal.space import RECORD_ROOM
 from rushhitch.partners.codec import Attempt, Codec
 from rushhitch.partners.gate import Gate
-from rushhitch.planning.counts import LaneCounts
-from rushhitch.planning.guidance import Allowance
-from rushhitch.planning.messages import LaneReport
+from rushhitch.taker import DELIVERED, FAILED, TAKEN, Answer, BadRequest, Offer, Pending, Reply
 
 if TYPE_CHECKING:
     from rushhitch.cloudevents.sinks import Sinks
@@ -39,61 +44,16 @@
 log = logging.getLogger(__name__)
 
 WITHDRAWN = Reply("refused")  # nobody was told that it is taken on: it may come again
-STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 OVERDUE_S = 0.1  # after its time is up, a message that the module has not ended is failed here
 ANSWER_MARGIN_S = 0.1  # a client's message is so much older than we know, at most: it waited on its way here
-LINGER_S = 60.0  # a destination with no endpoint left is known for so long: its next one may be on the way
 BUSY_MS = 500  # told to a client where the house or the journal is full
 ENDED_SHARE = 0.5  # of the room for live messages: identities remembered past their end take no more
-STATED_MS = 1_000.0  # a partner's stated limit holds so long in the decision module, unless told again
-SINGLY = ", one message a call"  # after a kind's name
 ACCEPTED = 202
 RAN = {Verdict.NOT_RUN: Outcome.MOOT, Verdict.RAN: Outcome.ERROR}  # what a negative acknowledgement means
 ACK_MARGIN_S = 0.1  # before its time is up, a message that no acknowledgement has come for is failed
 RETRY_S = 0.25  # between two tries to write what a full disk did not take
 
 
-@dataclass(frozen=True, slots=True)
-class Loan:
-    """An attempt that the process before this one carries to its end; times by the clock that both have."""
-
-    message: int
-    attempt: int
-    endpoint: str
-    call: int
-    started: float
-    first_due: float
-
-
-@dataclass(slots=True, eq=False)
-class Message:
-    """A message of this process; `answer` is there until its client has been answered."""
-
-    number: int
-    kept: Kept
-    attempts: int
-    due: float  # when its time is up, by the clock of the event loop, in seconds
-    answer: Answer | None = None
-    enders: list[Answer] = field(default_factory=list)  # those who want to hear its end
-    over: bool = False
-    out: set[int] = field(default_factory=set)
-    handed: bool = False  # the module is done with it; its partner's acknowledgement is to come
-    pending: Result | None = None  # of a call that to the module is out until the acknowledgement comes
-    waiting: bool = False  # the module hears of it anew once its other attempts have ended
-    sink: bytes = b""  # the event's attributes, where its end is to be told to a sink
-    verdict: Verdict | None = None  # one that came before its call had ended
-    watchdog: asyncio.TimerHandle | None = None
-
-
-def with_singles(settings: Settings) -> Settings:
-    """The settings, and a kind beside each that takes batches, for endpoints of it whose protocol has none.
-    Guards against the decisions taking several calls for one."""
-    singles = tuple(
-        replace(kind, name=kind.name + SINGLY, batch=1) for kind in settings.kinds if kind.batch > 1
-    )
-    return replace(settings, kinds=settings.kinds + singles)
-
-
 class Node:
     """One dispatcher: everything that happens passes through `turn`."""
 
@@ -111,22 +71,17 @@
     ) -> None:
         self.settings, self.dispatcher, self.journal, self.notify = settings, dispatcher, journal, notify
         self.keep_s = keep_s
-        self.codecs = codecs or {}  # by destination; the others speak the platform's protocol
         self.loop = asyncio.get_running_loop()
         self.endpoints = Endpoints(settings, self.attempt_ended, self.dropped, connections, self.withdrawn)
         self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
         self.history = history or History()  # of settings: what messages were taken under
         self.figures = Figures(self.classes)
         self.bans = bans  # endpoints that operators took out
-        self.kinds = {kind.name: position for position, kind in enumerate(settings.kinds)}
-        self.zones = {zone: position for position, zone in enumerate(settings.zones)}
-        self.entries: dict[str, api.Entry] = {}
-        self.destinations: dict[int, float] = {}  # and when each last had an endpoint
-        self.listing: dict[str, dict[str, Any]] = {}  # its endpoints, in discovery's form
+        self.limits = Limits(settings.dispatchers, self.note, dispatcher.held)
+        self.listing = Listing(settings, codecs or {}, self.endpoints, journal, self.limits, self.note)
         self.frozen = self.yielded = False  # sends nothing more; another process owns all
         self.lent: dict[tuple[int, int], Loan] = {}  # attempts that an earlier process carries to their end
         self.call_back: Callable[[int, int], None] = lambda message, attempt: None  # one of them
-        self.left: dict[str, float] = {}  # endpoints that are no longer listed, and since when
         self.messages: dict[int, Message] = {}
         self.by_id: dict[bytes, Message] = {}
         self.numbers = journal.highest
@@ -138,11 +93,6 @@
         self.ends: list[tuple[Answer, Reply]] = []  # likewise, for those who wait
         self.retrying: asyncio.TimerHandle | None = None
         self.fresh_bytes = 0
-        self.counts: LaneCounts | None = None  # for reports, where there are planners
-        self.gate: Gate | None = None  # where partners must agree to be sent anything
-        self.rows: dict[str, dict[str, Any]] = {}  # of endpoints that it covers, as they are listed
-        self.stated: dict[int | str, float] = {}  # calls a second that partners state, by lane
-        self.granted: dict[int | str, tuple[float, Allowance]] = {}  # by lane: until when it holds
         self.reminder: asyncio.TimerHandle | None = None
         self.events: list[api.Event] = []
         self.fresh: list[Message] = []
@@ -163,127 +113,18 @@
             self.gathering = True
             self.loop.call_later(self.settings.tick_ms / 1000.0, self.turn)
 
-    def listed(self, news: dict[str, Any], cached: bool = False) -> None:
-        """A list or its changes, in discovery's form; an entry that makes no sense is left out."""
-        full = bool(news.get("full"))
-        kind = api.ListKind.CACHED if cached else api.ListKind.FULL if full else api.ListKind.DELTA
-        entries = []
-        for row in news.get("servers", ()):
-            try:
-                entries.append(self.entry(row))
-            except (KeyError, TypeError, ValueError, AttributeError) as error:
-                log.warning("list: an entry is left out: %s: %s: %r", type(error).__name__, error, row)
-        gone = {entry.endpoint for entry in entries if entry.state is State.GONE}
-        if kind is not api.ListKind.DELTA:
-            gone |= self.entries.keys() - {entry.endpoint for entry in entries}
-        now = self.loop.time()
-        for name in gone:
-            self.listing.pop(name, None)
-            if self.entries.pop(name, None) is not None:
-                self.left[name] = now
-            self.endpoints.bar(name)
-            if self.rows.pop(name, None) is not None and self.gate is not None:
-                self.gate.remove(name)
-            if self.counts is not None:
-                self.counts.remove(name)
-        if kind is not api.ListKind.CACHED:  # what was known at the start may be old
-            for name in [name for name in self.journal.cold if name not in self.entries]:
-                self.journal.warm(name)
-        self.left = {name: at for name, at in self.left.items() if now - at <= LINGER_S}
-        self.destinations |= dict.fromkeys((entry.destination for entry in self.entries.values()), now)
-        for destination in [d for d, at in self.destinations.items() if now - at > LINGER_S]:
-            del self.destinations[destination]
-        self.note(api.Listed(kind, int(news.get("version", 0)), tuple(entries)))
-
-    def entry(self, row: dict[str, Any]) -> api.Entry:
-        state, known = STATES[row["state"]], self.entries.get(row["id"])
-        if state is State.GONE:  # nothing else of it need be told
-            return replace(known, state=state) if known else api.Entry(str(row["id"]), 0, state=state)
-        destination = int(row["cell"])
-        codec = self.codecs.get(destination, PLATFORM)
-        kind_of = self.kinds[row["kind"]]
-        if codec.batch(int(self.settings.kinds[kind_of].batch)) == 1:
-            kind_of = self.kinds.get(row["kind"] + SINGLY, kind_of)
-        entry = api.Entry(
-            str(row["id"]),
-            destination,
-            kind_of,
-            self.zones[row["zone"]],
-            state,
-            float(row.get("weight", 0.0)),
-        )
-        if self.gate is not None and self.gate.covers(entry.destination):
-            self.rows[entry.endpoint] = row
-            self.gate.place(entry.endpoint)
-            if entry.state is State.READY and not self.gate.open(entry.endpoint):
-                entry = replace(entry, state=State.DRAINING)
-        kind = self.settings.kinds[entry.kind]
-        lane = self.lane_of(entry)
-        place = Place(parse_address(row["addr"]), lane, int(kind.batch), entry.state, codec)
-        self.endpoints.place(entry.endpoint, place)
-        self.entries[entry.endpoint], self.listing[entry.endpoint] = entry, row
-        if self.counts is not None:
-            self.counts.place(entry.endpoint, entry.destination, kind.apart)
-        return entry
-
-    def lane_of(self, entry: api.Entry) -> int | str:
-        """What the decision module calls the endpoint's lane."""
-        return entry.endpoint if self.settings.kinds[entry.kind].apart else entry.destination
-
-    # Operators
-
-    def detach(self, endpoint: str) -> None:
-        """Take the endpoint out; raises `Refused` and changes nothing where that cannot be kept. When it
-        returns, no call can start there: the module hears of it in this turn, the sockets know it now."""
-        self.change_bans(endpoint, lambda bans: bans.add(endpoint))
-        self.endpoints.ban(endpoint)
-        self.note(api.Detached(endpoint))
-        log.info("endpoint %s is taken out by operators", endpoint)
-
-    def attach(self, endpoint: str) -> None:
-        """The endpoint may serve again; one that is not out stays as it is."""
-        self.change_bans(endpoint, lambda bans: bans.remove(endpoint))
-        if endpoint not in self.endpoints.banned:
-            return
-        self.endpoints.unban(endpoint)
-        self.note(api.Attached(endpoint))
-        log.info("endpoint %s is given back by operators", endpoint)
-
-    def change_bans(self, endpoint: str, change: Callable[[Bans], None]) -> None:
-        assert self.bans is not None, "there is no control address"
-        if not any(endpoint in known for known in (self.entries, self.left, self.bans.ids)):
-            raise Refused(f"no endpoint is called {endpoint}: INFO tells how many there are")
-        try:
-            change(self.bans)
-        except OSError as error:
-            raise Refused(f"the ban, or its end, cannot be kept: {error}") from None
-
-    def info(self) -> dict[str, Any]:
-        """The figures as of now; what was handed over is told by the process that has it."""
-        held = 0 if self.yielded else len(self.by_id)
-        known = len(self.entries), self.dispatcher.avoided()
-        return self.figures.report(self.endpoints.written, held, *known)
-
     def reconfigure(self, settings: Settings, history: History) -> None:
         """Take other settings for what comes from now on; `history` tells of them too. Raises `ValueError`
         and changes nothing where they need another process."""
         if settings.kinds != self.settings.kinds or settings.zones != self.settings.zones:
             raise ValueError("settings: kinds and zones change with a restart or an upgrade, not at SIGHUP")
         self.settings, self.history = settings, history
+        self.limits.dispatchers = settings.dispatchers
         self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
         self.figures.named(self.classes)
         self.endpoints.settings = settings
         self.note(api.Reconfigured(settings))
 
-    def regate(self, endpoint: str) -> None:
-        """The gate has changed its mind on the endpoint."""
-        if (row := self.rows.get(endpoint)) is not None:
-            self.listed({"full": False, "servers": [row]})
-
-    def gated_lanes(self) -> dict[str, int | str]:
-        """The lanes of the endpoints that the gate covers."""
-        return {name: self.lane_of(self.entries[name]) for name in self.rows if name in self.entries}
-
     def offer(self, offer: Offer, answer: Answer, ended: Answer | None = None) -> int:
         """A client hands a message in; it is answered at the end of the turn. `Taker` tells the rest."""
         if self.yielded:
@@ -293,7 +134,7 @@
             raise BadRequest(f"unknown class {offer.cls[:40]!r}")
         if offer.left_ms > (most := self.settings.classes[self.classes[offer.cls]].deadline_ms):
             raise BadRequest(f"d must be at most {most:g} for class {offer.cls}, not {offer.left_ms:g}")
-        if offer.destination not in self.destinations:
+        if offer.destination not in self.listing.destinations:
             raise BadRequest(f"unknown destination {offer.destination}")
         if held := self.by_id.get(offer.id):
             if held.answer is not None:
@@ -333,8 +174,8 @@
         message = self.enter(kept, answer)
         if ended is not None:
             message.enders.append(ended)
-        if self.counts is not None:
-            self.counts.arrived(offer.destination)
+        if self.limits.counts is not None:
+            self.limits.counts.arrived(offer.destination)
         self.fresh.append(message)
         self.fresh_bytes += RECORD_ROOM + size
         self.note(
@@ -451,7 +292,7 @@
 
     def acknowledges(self, destination: int) -> bool:
         """Whether its answers may only say that an acknowledgement is to come."""
-        return self.codecs.get(destination, PLATFORM).later(ACCEPTED)
+        return self.listing.codecs.get(destination, PLATFORM).later(ACCEPTED)
 
     def ordered(self, kept: Kept) -> bool:
         """Whether messages of its key go one after another."""
@@ -520,72 +361,6 @@
                 message.verdict = told.verdict
         self.save(lambda: answer(ACKNOWLEDGED), lambda: answer(Reply("refused", BUSY_MS)))
 
-    # Succession: another process goes on with all of it
-
-    async def freeze(self) -> bool:
-        """Send nothing more; what is not written whole is called back, and what came in is in the journal.
-        False where the disk does not take it: then nothing can be handed over."""
-        self.frozen = True
-        await self.endpoints.freeze()
-        self.turn()
-        await self.committer.quiet()
-        return not self.journal.unsaved
-
-    def yield_all(self, report: Callable[[Result], None]) -> tuple[int, dict[str, Any]]:
-        """Own nothing from now on but the calls that are out, whose results go to `report`. The descriptor
-        that holds the folder, and what the process needs that goes on."""
-        now = self.loop.time()
-        loans = [
-            Loan(message, attempt, call.endpoint, id(call), call.started, call.first_due)
-            for (message, attempt), call in self.endpoints.calls.items()
-        ]
-        told = {
-            "learned": learned.export(self.dispatcher),
-            "loans": [astuple(loan) for loan in loans],
-            "waits": [(lane, until) for lane, until in self.endpoints.waits.items() if until > now],
-            "servers": list(self.listing.values()),
-        }
-        self.yielded = True
-        self.endpoints.report = report
-        if self.reminder is not None:
-            self.reminder.cancel()
-        if self.retrying is not None:
-            self.retrying.cancel()
-        for message in self.messages.values():
-            if message.watchdog is not None:
-                message.watchdog.cancel()
-        return self.journal.hand_over(), told
-
-    def inherit_waits(self, waits: Sequence[tuple[int | str, float]]) -> None:
-        for lane, until in waits:
-            self.endpoints.waits[lane] = max(self.endpoints.waits.get(lane, 0.0), until)
-
-    def loan_ended(
-        self,
-        message: int,
-        attempt: int,
-        outcome: Outcome,
-        took_ms: float = 0.0,
-        wait_ms: float = 0.0,
-        over: bool = False,
-        later: bool = False,
-    ) -> None:
-        """The earlier process tells how one of its calls ended."""
-        loan, held = self.lent.pop((message, attempt), None), self.messages.get(message)
-        if loan is None or held is None:
-            return
-        if wait_ms and (place := self.endpoints.places.get(loan.endpoint)) is not None:
-            self.inherit_waits([(place.lane, self.loop.time() + wait_ms / 1000.0)])
-        kept = held.kept
-        words = (kept.id, kept.body, held.due, held.due, kept.cls, kept.attributes, kept.deadline)
-        result = Result(Attempt(message, attempt, *words), loan.endpoint, outcome, took_ms, wait_ms, over)
-        self.attempt_ended(replace(result, first_due=loan.first_due, later=later))
-
-    def lose_loans(self) -> None:
-        """The earlier process has died: what it had out may have run."""
-        for message, attempt in list(self.lent):
-            self.loan_ended(message, attempt, Outcome.RESET)
-
     def leaving(self, at: float) -> None:
         """The process ends at that time of the event loop's clock."""
         self.note(api.Leaving((at - self.loop.time()) * 1000.0))
@@ -612,9 +387,9 @@
                 self.save()
                 return
         message.out.discard(result.attempt.number)
-        if self.counts is not None:
+        if self.limits.counts is not None:
             now = self.loop.time() * 1000.0
-            self.counts.ended(now, result.endpoint, result.outcome, result.wait_ms)
+            self.limits.counts.ended(now, result.endpoint, result.outcome, result.wait_ms)
         if (
             message.number in self.journal.live
             and result.attempt.number in message.kept.out
@@ -646,50 +421,12 @@
         self.note(api.Dropped(endpoint))
 
     def withdrawn(self, endpoint: str) -> None:
-        if self.gate is not None and endpoint in self.rows:
-            self.gate.withdrawn(endpoint)
-
-    # Limits from outside
+        if (gate := self.listing.gate) is not None and endpoint in self.listing.rows:
+            gate.withdrawn(endpoint)
 
-    def collect(self, elapsed_ms: float) -> list[LaneReport]:
-        """What was seen since it was asked last, for a report."""
-        assert self.counts is not None, "nothing is counted without planners"
-        return self.counts.collect(self.loop.time() * 1000.0, elapsed_ms, self.dispatcher.held())
-
-    def guided(self, allowance: Allowance) -> None:
-        """A planner's word goes to the decisions as one event; they keep to the lower of it and their own."""
-        assert self.counts is not None, "nothing is counted without planners"
-        lane = self.counts.lane_of(allowance.lane)
-        if lane is None:
-            return
-        if self.gate is not None:
-            self.granted[lane] = (self.loop.time() + allowance.for_ms / 1000.0, allowance)
-        self.allow(lane, allowance)
-
-    def allow(self, lane: int | str, allowance: Allowance) -> None:
-        """Pass an allowance on, or the limit that the partner states where that is lower: then moments that
-        were dealt for the higher one do not count."""
-        stated = self.stated.get(lane, math.inf)
-        slots = (allowance.slots_ms, allowance.slot, allowance.slots)
-        per_s, burst = allowance.per_s, max(allowance.burst, 1.0)
-        if stated < per_s:
-            per_s, burst, slots = stated, 1.0, (0.0, 0, ())
-        told = (allowance.for_ms, allowance.wait_ms, allowance.handicap)
-        self.note(api.Allowed(lane, per_s, burst, *told, *slots))
-
-    def state_limits(self, rates: Mapping[int | str, float]) -> None:
-        """Limits in calls a second that partners state, by lane: to all dispatchers together, so each keeps
-        to its part. The decision module hears of them as of planners' grants, which run out after a second:
-        call it more often."""
-        self.stated = {lane: per_s / self.settings.dispatchers for lane, per_s in rates.items()}
-        now = self.loop.time()
-        self.granted = {lane: held for lane, held in self.granted.items() if held[0] > now}
-        for lane, per_s in self.stated.items():
-            granted = (
-                self.granted[lane][1] if lane in self.granted else Allowance(str(lane), math.inf, 1.0, 0.0)
-            )
-            if per_s < granted.per_s:
-                self.allow(lane, replace(granted, for_ms=STATED_MS, wait_ms=0.0))
+    def set_gate(self, gate: Gate) -> None:
+        """From now on it says which endpoints of the destinations that it covers may be called."""
+        self.listing.gate, self.limits.stating = gate, True
 
     # Actions
 
@@ -735,9 +472,9 @@
                 else:
                     wanted.append(attempt)
             if wanted:
-                if self.counts is not None and endpoint in self.endpoints.places:
+                if self.limits.counts is not None and endpoint in self.endpoints.places:
                     calls = -(-len(wanted) // self.endpoints.places[endpoint].batch)
-                    self.counts.sent(endpoint, len(wanted), calls)
+                    self.limits.counts.sent(endpoint, len(wanted), calls)
                 self.endpoints.send(endpoint, wanted)
 
     def undo(self, fresh: list[Message], sends: dict[str, list[Attempt]]) -> None:
@@ -801,8 +538,8 @@
                     self.journal.chill(endpoint, pace_per_s)
                 else:
                     self.journal.warm(endpoint)
-                if self.counts is not None:
-                    self.counts.chilled(endpoint, cold)
+                if self.limits.counts is not None:
+                    self.limits.counts.chilled(endpoint, cold)
             case api.Subscribe():
                 pass  # the watch on the list is open always, and keeps itself open
             case api.Log(text):
--- a/rushhitch/fronts/cloudevents.py
+++ b/rushhitch/fronts/cloudevents.py
@@ -22,7 +22,7 @@
 from rushhitch.cloudevents.http import MOST_BATCH, decode
 from rushhitch.cloudevents.mapping import Rules, acknowledgement, placed
 from rushhitch.fronts.listener import ClientConnection, Clients, Fault, Slot
-from rushhitch.fronts.taker import BadRequest, Offer, Pending, Reply, Taker
+from rushhitch.taker import BadRequest, Offer, Pending, Reply, Taker
 
 MOST_AHEAD = 65_536  # bytes of further requests that are read while one is under way
 MOST_HEAD = 32_768  # bytes: 64 attributes as headers, most of them short
--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -12,7 +12,7 @@
 
 from rushhitch.fronts import admission
 from rushhitch.fronts.admission import Standing, order
-from rushhitch.fronts.taker import Taker
+from rushhitch.taker import Taker
 
 log = logging.getLogger(__name__)
 
--- a/rushhitch/fronts/resp2.py
+++ b/rushhitch/fronts/resp2.py
@@ -7,7 +7,7 @@
 import hiredis
 
 from rushhitch.fronts.listener import MOST_REQUEST, ClientConnection, Clients, Fault, Slot
-from rushhitch.fronts.taker import MOST_BODY, MOST_ID, BadRequest, Offer, Reply
+from rushhitch.taker import MOST_BODY, MOST_ID, BadRequest, Offer, Reply
 
 NOTHING = object()  # what the reader gives while no request is complete
 MOST_LINE = 16  # bytes of a line that tells a length
--- a/rushhitch/partners/handshake.py
+++ b/rushhitch/partners/handshake.py
@@ -12,7 +12,7 @@
 from rushhitch.partners.agreements import Agreements
 
 if TYPE_CHECKING:
-    from rushhitch.node import Node
+    from rushhitch.core.node import Node
 
 log = logging.getLogger(__name__)
 
@@ -103,21 +103,21 @@
             log.info("%s agrees to be sent events: %s", endpoint, rate)
         else:
             log.warning("%s does not agree to be sent events: %s", endpoint, known.why)
-        self.node.state_limits(self.rates())  # before the first call can go
-        self.node.regate(endpoint)
+        self.node.limits.state_limits(self.rates())  # before the first call can go
+        self.node.listing.regate(endpoint)
 
     # Stated limits
 
     async def state(self) -> None:
         while True:
-            self.node.state_limits(self.rates())
+            self.node.limits.state_limits(self.rates())
             await asyncio.sleep(STATE_S)
 
     def rates(self) -> dict[int | str, float]:
         """Calls a second by lane, of those that state a limit: the lowest where endpoints share one, so that
         no endpoint gets more than it allows."""
         found: dict[int | str, float] = {}
-        for endpoint, lane in self.node.gated_lanes().items():
+        for endpoint, lane in self.node.listing.gated_lanes().items():
             per_s = self.agreements.per_s(endpoint)
             if per_s < math.inf:
                 found[lane] = min(found.get(lane, math.inf), per_s)
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -26,13 +26,17 @@
 from rushhitch.control.bans import Bans
 from rushhitch.control.server import Control
 from rushhitch.control.words import TAKES_ID, BadCommand, Refused, answer, parse
+from rushhitch.core.figures import Figures
+from rushhitch.core.handing import Handing
+from rushhitch.core.listing import with_singles
+from rushhitch.core.messages import Loan
+from rushhitch.core.node import Node
+from rushhitch.core.operators import Operators
 from rushhitch.discovery import Notices, Platform, Watch
-from rushhitch.figures import Figures
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
 from rushhitch.journal import Journal
 from rushhitch.journal.side import Side, unsealed
-from rushhitch.node import Loan, Node, with_singles
 from rushhitch.partners.codec import Codec
 from rushhitch.planning.counts import LaneCounts
 from rushhitch.succession.handover import Handover
@@ -125,24 +129,31 @@
         known = configuration.known
         if inheritance.told is not None:
             known = {name: inheritance.told[name] for name in ("version", "servers")} | {"full": True}
-        node.listed(known, cached=True)
+        node.listing.take(known, cached=True)
         self.watch = Watch(
             configuration.discovery,
             known["version"],
-            node.listed,
+            node.listing.take,
             random.Random(configuration.seed),
             dispatchers=configuration.settings.dispatchers,
         )
         self.platform = Platform(self.watch, self.notices)
-        operate = desk.own(node)
-        self.handover = Handover(configuration.state, node, self.clients, lambda: self.watch.version, operate)
+        self.handing, operators = Handing(node), Operators(node)
+        self.handover = Handover(
+            configuration.state,
+            self.handing,
+            operators,
+            self.clients,
+            lambda: self.watch.version,
+            desk.own(operators),
+        )
         self.reloading: asyncio.Task[None] | None = None
 
     def start(self, takeover: Takeover, changed: asyncio.Event) -> None:
         """Go on with what is there, and take what comes."""
         configuration, node, told = self.configuration, self.node, self.inheritance.told
         if told is not None:
-            node.inherit_waits(told["waits"])
+            self.handing.inherit_waits(told["waits"])
             node.resume(told["learned"], [Loan(*loan) for loan in told["loans"]])
         else:
             node.resume()
@@ -174,10 +185,10 @@
 
     def take_over(self, takeover: Takeover) -> None:
         """What the process before this one still tells: connections, and how its calls end."""
-        node = self.node
+        node, handing = self.node, self.handing
 
         def ended(told: dict[str, Any]) -> None:
-            node.loan_ended(
+            handing.loan_ended(
                 int(told["message"]),
                 int(told["attempt"]),
                 Outcome(told["outcome"]),
@@ -187,7 +198,7 @@
                 told["later"],
             )
 
-        takeover.adopt, takeover.ended, takeover.dead = self.clients.adopt, ended, node.lose_loans
+        takeover.adopt, takeover.ended, takeover.dead = self.clients.adopt, ended, handing.lose_loans
         takeover.relay.operate, node.call_back = self.handover.relay.operate, takeover.call_back
         takeover.go_on()
 
@@ -244,9 +255,9 @@
     """The forwarder's part: it counts, reports and is guided."""
     from rushhitch.planning.client import PlannerClient  # with its libraries: only where it is on
 
-    node.counts = LaneCounts([cls.worth for cls in configuration.settings.classes])
+    node.limits.counts = LaneCounts([cls.worth for cls in configuration.settings.classes])
     own, name = configuration.own, configuration.name
-    return PlannerClient(name, dict(own.planners), own.secret, node.collect, node.guided)
+    return PlannerClient(name, dict(own.planners), own.secret, node.limits.collect, node.limits.guided)
 
 
 def codecs(own: Own) -> dict[int, Codec]:
@@ -275,7 +286,8 @@
 
     asking = own.events.handshake
     agreements = Agreements(asking.origin, asking.rate, asking.renew_s * 1000.0)
-    node.gate = handshake = Handshake(node, agreements, asking.destinations, own.events.path)
+    handshake = Handshake(node, agreements, asking.destinations, own.events.path)
+    node.set_gate(handshake)
     return handshake
 
 
@@ -294,8 +306,8 @@
     clients: Clients, configuration: Configuration, sinks: Sinks | None, passed: socket.socket | None = None
 ) -> None:
     """The CloudEvents front, beside RESP2 and within the same bounds."""
-    from rushhitch.acknowledgements import Verdict
     from rushhitch.cloudevents.mapping import Acks, Rules  # with its library: only where it is on
+    from rushhitch.core.acknowledgements import Verdict
     from rushhitch.fronts.cloudevents import CloudEvents, front
 
     events = configuration.own.events
@@ -412,7 +424,7 @@
     that has handed over. Bans are the owner's to answer; the other passes them on."""
 
     def __init__(self) -> None:
-        self.node: Node | None = None
+        self.operators: Operators | None = None
         self.ready = False
         self.known = (0, 0)  # endpoints listed and avoided, as the owner told
         self.relay: Callable[[bytes], asyncio.Future[bytes]] | None = None
@@ -421,9 +433,9 @@
         """This process takes over as soon as the one before it is told to end."""
         self.ready, self.known = True, (listed, down)
 
-    def own(self, node: Node) -> Callable[[bytes], bytes]:
+    def own(self, operators: Operators) -> Callable[[bytes], bytes]:
         """From now on this process owns all; gives what carries out a word that another was told."""
-        self.node, self.relay = node, None
+        self.operators, self.relay = operators, None
         return lambda line: answer(line, self)
 
     def answer(self, line: bytes) -> bytes | asyncio.Future[bytes]:
@@ -441,17 +453,17 @@
             raise Refused("not ready: it takes no messages now")
 
     def info(self) -> dict[str, Any]:
-        return Figures().report(0, 0, *self.known) if self.node is None else self.node.info()
+        return Figures().report(0, 0, *self.known) if self.operators is None else self.operators.info()
 
     def detach(self, endpoint: str) -> None:
-        if self.node is None:
+        if self.operators is None:
             raise Refused("not ready")
-        self.node.detach(endpoint)
+        self.operators.detach(endpoint)
 
     def attach(self, endpoint: str) -> None:
-        if self.node is None:
+        if self.operators is None:
             raise Refused("not ready")
-        self.node.attach(endpoint)
+        self.operators.attach(endpoint)
 
 
 async def open_control(desk: Desk, configuration: Configuration) -> Control | None:
--- a/rushhitch/succession/handover.py
+++ b/rushhitch/succession/handover.py
@@ -10,9 +10,10 @@
 from pathlib import Path
 from typing import Any
 
+from rushhitch.core.handing import Handing
+from rushhitch.core.operators import Operators
 from rushhitch.endpoints import Result
 from rushhitch.fronts.listener import Clients
-from rushhitch.node import Node
 from rushhitch.succession import channel as channels
 from rushhitch.succession.channel import Channel, Relay
 from rushhitch.succession.states import VERSION, Do, Incumbent, Old
@@ -30,12 +31,14 @@
     def __init__(
         self,
         folder: Path,
-        node: Node,
+        handing: Handing,
+        operators: Operators,
         clients: Clients,
         version: Callable[[], int],
         operate: Callable[[bytes], bytes],
     ) -> None:
-        self.folder, self.node, self.clients = folder, node, clients
+        self.folder, self.clients = folder, clients
+        self.handing, self.operators, self.node = handing, operators, handing.node
         self.version, self.relay = version, Relay(operate)
         self.loop = asyncio.get_running_loop()
         self.incumbent = Incumbent()
@@ -109,7 +112,7 @@
             return
         self.channel = self.relay.channel = channel
         listeners, fronts = self.clients.listeners, list(self.clients.fronts)
-        info = self.node.info()
+        info = self.operators.info()
         told = {"t": "welcome", "version": VERSION, "fronts": fronts}
         told |= {"listed": info["hosts_listed"], "down": info["hosts_down"]}
         channel.send(told, [os.dup(listener.fileno()) for listener in listeners])
@@ -134,7 +137,7 @@
         self.clients.pause_listening()
         while self.clients.accepted:
             await asyncio.wait(self.clients.accepted)
-        if not await self.node.freeze():
+        if not await self.handing.freeze():
             self.incumbent.cannot_yield()
             log.error("the disk does not take what a successor needs: this process ends without handing over")
             return False
@@ -142,7 +145,7 @@
         if channel is None:  # it died meanwhile, and nothing was given away yet
             self.incumbent.cannot_yield()
             return False
-        lock, told = self.node.yield_all(self.report)
+        lock, told = self.handing.yield_all(self.report)
         channel.send({"t": "yield", "version": self.version()} | told, [lock])
         held = len(told["loans"])
         log.info("handed over, %d messages are out here until their calls end", held)
--- a/rushhitch/fronts/taker.py
+++ b/rushhitch/taker.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from rushhitch.acknowledgements import Acknowledgement
+    from rushhitch.core.acknowledgements import Acknowledgement
 
 MOST_BODY = 65_536  # bytes of a message
 MOST_ID = 128  # bytes of its id
--- a/tests/lives.py
+++ b/tests/lives.py
@@ -14,12 +14,12 @@
 from crowpier import Dispatcher
 from crowpier.benchlink import settings_of
 from crowpier.interface import Outcome
-from rushhitch import node as node_module
+from rushhitch.core import node as node_module
+from rushhitch.core.node import Node
 from rushhitch.endpoints import Result
-from rushhitch.fronts.taker import TAKEN, Offer, Reply
 from rushhitch.journal import Journal, Sync
 from rushhitch.journal.files import Files
-from rushhitch.node import Node
+from rushhitch.taker import TAKEN, Offer, Reply
 
 WORTH = {"lateWorth": 0.1, "value": 1.0}
 CLASSES = [
@@ -177,7 +177,7 @@
         self.node.loop, self.node.endpoints, partner.node = outside.time, partner, self.node
         row = {"addr": "127.0.0.1:1", "zone": "a", "kind": "firms", "cell": 7, "state": "SERVING"}
         rows = [row | {"id": name, "weight": 1.0, "started_ms": 0} for name in ("e1", "e2", "e3")]
-        self.node.listed({"version": 41, "full": True, "servers": rows}, cached=True)
+        self.node.listing.take({"version": 41, "full": True, "servers": rows}, cached=True)
         self.node.resume()
 
     def notify(self, number, name, result, wait_ms):
--- a/tests/test_acknowledgements.py
+++ b/tests/test_acknowledgements.py
@@ -9,7 +9,9 @@
 from test_fronts_cloudevents import RULES, Browser
 from test_node import Bench
 
-from rushhitch.acknowledgements import (
+from rushhitch.cloudevents.events import BadEvent, Event
+from rushhitch.cloudevents.mapping import Acks, Rules, acknowledgement, identity
+from rushhitch.core.acknowledgements import (
     ACKNOWLEDGED,
     DIFFERS,
     LATE,
@@ -20,16 +22,14 @@
     Verdict,
     effect,
 )
-from rushhitch.cloudevents.events import BadEvent, Event
-from rushhitch.cloudevents.mapping import Acks, Rules, acknowledgement, identity
+from rushhitch.core.node import Node
 from rushhitch.fronts.cloudevents import front
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
-from rushhitch.fronts.taker import Offer
 from rushhitch.journal import Journal
 from rushhitch.journal.inspect import table
-from rushhitch.node import Node
 from rushhitch.partners.cloudevents import CloudEvents
+from rushhitch.taker import Offer
 
 TYPES = {"org.bank.done": Verdict.DELIVERED, "org.bank.broke": Verdict.RAN, "org.bank.never": Verdict.NOT_RUN}
 DONE, BROKE, NEVER = TYPES
@@ -136,8 +136,8 @@
 
     async def open(self, node):
         self.node = node
-        node.codecs = {7: CloudEvents("binary", "/rushhitch", {}, acknowledged=True)}
-        node.listed({"version": 42, "full": False, "servers": [self.row]})
+        node.listing.codecs = {7: CloudEvents("binary", "/rushhitch", {}, acknowledged=True)}
+        node.listing.take({"version": 42, "full": False, "servers": [self.row]})
         self.clients = Clients(node, 16)
         self.http = self.clients.listen(("127.0.0.1", 0), "cloudevents", front(WITH_ACKS))
         self.resp2 = self.clients.listen(("127.0.0.1", 0), "resp2", Resp2)
@@ -307,7 +307,7 @@
 def test_one_for_a_message_that_was_never_sent_is_told_so(tmp_path):
     @with_bank(tmp_path)
     async def _(bank):
-        bank.node.listed({"version": 43, "full": False, "servers": [bank.row | {"state": "DRAINING"}]})
+        bank.node.listing.take({"version": 43, "full": False, "servers": [bank.row | {"state": "DRAINING"}]})
         bank.post()
         await bank.answers.get()
         assert await bank.acknowledge() == (404, "unknown")
@@ -381,7 +381,7 @@
     classes = tuple(replace(cls, in_order=cls.name == "pay") for cls in bank.node.settings.classes)
     settings = replace(bank.node.settings, classes=classes)
     bank.node.settings, bank.node.dispatcher = settings, type(bank.node.dispatcher)(settings, 1)
-    bank.node.listed({"version": 42, "full": True, "servers": [bank.row]})
+    bank.node.listing.take({"version": 42, "full": True, "servers": [bank.row]})
 
 
 @pytest.mark.parametrize(("kind", "then"), [(DONE, "m2"), (NEVER, "m1"), (BROKE, "m2")])
--- a/tests/test_acknowledgements_crash.py
+++ b/tests/test_acknowledgements_crash.py
@@ -6,7 +6,7 @@
 
 from crowpier.interface import Outcome
 from lab.disk import HOWS, CountingFiles, Crash, CrashingFiles
-from rushhitch.acknowledgements import Acknowledgement, Verdict
+from rushhitch.core.acknowledgements import Acknowledgement, Verdict
 from rushhitch.endpoints import Result
 from rushhitch.partners.cloudevents import CloudEvents
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -15,7 +15,7 @@
 from rushhitch.fronts.admission import Standing, order
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
-from rushhitch.fronts.taker import TAKEN
+from rushhitch.taker import TAKEN
 
 NOW = 100.0
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -10,7 +10,7 @@
 from rushhitch.control import server as control_server
 from rushhitch.control.server import Control
 from rushhitch.control.words import MOST_LINE, Refused, answer
-from rushhitch.figures import Figures
+from rushhitch.core.figures import Figures
 
 
 class Recorder:
--- a/tests/test_fronts_cloudevents.py
+++ b/tests/test_fronts_cloudevents.py
@@ -10,15 +10,15 @@
 
 from rushhitch.cloudevents.http import BATCH, MOST_BATCH, STRUCTURED
 from rushhitch.cloudevents.mapping import Rules
-from rushhitch.ended import End, Ended
+from rushhitch.core.ended import End, Ended
+from rushhitch.core.node import Node
 from rushhitch.fronts import admission, cloudevents
 from rushhitch.fronts.cloudevents import front, wait_of
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
-from rushhitch.fronts.taker import DELIVERED, FAILED
 from rushhitch.journal import Journal
 from rushhitch.journal.inspect import table
-from rushhitch.node import Node
+from rushhitch.taker import DELIVERED, FAILED
 
 front_of = front
 RULES = Rules({"com.example.note": "note", "com.example.pay": "pay"}, {"note": 6000.0, "pay": 24000.0})
@@ -364,7 +364,7 @@
         front.core.journal = Journal(tmp_path / "state", 3e6)
         old = front.node
         front.node = Node(old.settings, type(old.dispatcher)(old.settings, 1), front.core.journal, old.notify)
-        front.node.listed({"version": 42, "full": True, "servers": [front.core.row]})
+        front.node.listing.take({"version": 42, "full": True, "servers": [front.core.row]})
         front.node.resume()
         front.clients = Clients(front.node, 16)
         front.http = front.clients.listen(("127.0.0.1", 0), "cloudevents", front_of(RULES))
--- a/tests/test_fronts_resp2.py
+++ b/tests/test_fronts_resp2.py
@@ -11,7 +11,7 @@
 from rushhitch.fronts import resp2 as clients
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2, parse_offer
-from rushhitch.fronts.taker import MOST_BODY, TAKEN, BadRequest, Reply
+from rushhitch.taker import MOST_BODY, TAKEN, BadRequest, Reply
 
 
 class Taker:
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -13,11 +13,12 @@
 from crowpier.interface import Attached, Detached, Entry, ListKind, Outcome, Remember, Send, State
 from rushhitch.control.bans import NAME, Bans
 from rushhitch.control.words import Refused
-from rushhitch.fronts.taker import TAKEN, Offer
+from rushhitch.core.operators import Operators
 from rushhitch.journal import Journal
 from rushhitch.journal.files import Files
 from rushhitch.journal.side import DRAFT
 from rushhitch.partners.codec import Attempt
+from rushhitch.taker import TAKEN, Offer
 
 FIRST, SECOND = Entry("e1", 1), Entry("e2", 1)
 
@@ -186,7 +187,7 @@
 
         async def slow(endpoint):
             connection = await connect(endpoint)
-            bench.node.detach(endpoint)  # the operators' call comes while the connection is coming up
+            Operators(bench.node).detach(endpoint)  # while the connection is coming up
             started.append(endpoint)
             return connection
 
@@ -198,7 +199,7 @@
         await asyncio.sleep(0.2)
         assert bench.partner.requests.empty() and bench.node.endpoints.written == 0
         bench.node.endpoints.connect = connect
-        bench.node.attach("e1")
+        Operators(bench.node).attach("e1")
         request = await bench.partner.next()
         assert request.headers["x-correlation-id"] == OFFER.id.decode()
         request.answer(200)
@@ -208,12 +209,12 @@
     @with_bench(tmp_path)
     async def _(bench):
         bench.offer()
-        bench.node.detach("e1")  # before the turn that would send it: the module hears of it last
+        Operators(bench.node).detach("e1")  # before the turn that would send it: the module hears of it last
         assert await bench.answers.get() == TAKEN
         await asyncio.sleep(0.1)
         assert bench.partner.requests.empty() and bench.partner.connections == 0
         bench.offer(Offer(b"m2", "note", 7, 6000.0, b""))
-        bench.node.attach("e1")
+        Operators(bench.node).attach("e1")
         for _ in range(2):
             (await bench.partner.next()).answer(200)
 
@@ -221,14 +222,14 @@
 def test_ids_that_nobody_has_are_refused_and_one_that_has_just_left_is_not(tmp_path):
     @with_bench(tmp_path)
     async def _(bench):
-        for operation in (bench.node.detach, bench.node.attach):
+        for operation in (Operators(bench.node).detach, Operators(bench.node).attach):
             with pytest.raises(Refused, match="no endpoint is called nobody"):
                 operation("nobody")
-        bench.node.listed({"version": 42, "full": False, "servers": [bench.row | {"state": "DELETED"}]})
-        bench.node.detach("e1")
+        bench.node.listing.take({"version": 42, "full": False, "servers": [bench.row | {"state": "DELETED"}]})
+        Operators(bench.node).detach("e1")
         assert Bans(bench.journal).ids == {"e1"}
-        bench.node.left.clear()  # long ago
-        bench.node.attach("e1")
+        bench.node.listing.left.clear()  # long ago
+        Operators(bench.node).attach("e1")
         assert Bans(bench.journal).ids == set()
 
 
@@ -240,7 +241,7 @@
 
         monkeypatch.setattr(bench.journal.files, "write", full)
         with pytest.raises(Refused, match="cannot be kept"):
-            bench.node.detach("e1")
+            Operators(bench.node).detach("e1")
         monkeypatch.undo()
         assert not bench.node.bans.ids and not bench.node.endpoints.banned
         bench.offer()
@@ -324,7 +325,7 @@
     async def _(bench):
         results, endpoints = [], bench.node.endpoints
         endpoints.report = results.append
-        bench.node.detach("e1")
+        Operators(bench.node).detach("e1")
         due = endpoints.loop.time() + 5.0
         endpoints.send("e1", [Attempt(1, 0, b"m1", b"", due, due, "note", b"", 0.0)])
         await asyncio.sleep(0.05)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,12 +11,13 @@
 from crowpier import Dispatcher
 from crowpier.benchlink import settings_of
 from crowpier.interface import Arrived, Listed, ListKind, Remembered
-from rushhitch import node as node_module
 from rushhitch.control.bans import Bans
-from rushhitch.fronts.taker import TAKEN, Offer, Reply
+from rushhitch.core import listing
+from rushhitch.core import node as node_module
+from rushhitch.core.node import Node
 from rushhitch.journal import Journal
 from rushhitch.journal.files import Files
-from rushhitch.node import Node
+from rushhitch.taker import TAKEN, Offer, Reply
 
 OFFER = Offer(b"m1", "note", 7, 6000.0, b"hello")
 
@@ -38,7 +39,7 @@
         )
         self.node.bans = Bans(self.journal)
         self.row = config["known"]["servers"][0]
-        self.node.listed(config["known"], cached=True)
+        self.node.listing.take(config["known"], cached=True)
         self.node.resume()
         return self
 
@@ -50,7 +51,7 @@
         peer = await Peer().start()
         addr = "{}:{}".format(*peer.address)
         row = self.row | {"id": endpoint, "addr": addr, "cell": destination}
-        self.node.listed({"version": 42, "full": False, "servers": [row]})
+        self.node.listing.take({"version": 42, "full": False, "servers": [row]})
         return peer
 
 
@@ -188,8 +189,8 @@
     @with_bench(tmp_path)
     async def _(bench):
         rows = [bench.row | {"id": "e2", "kind": "unheard"}, bench.row | {"id": "e3", "addr": "nowhere"}]
-        bench.node.listed({"version": 42, "servers": [*rows, {"id": "e1", "state": "DELETED"}]})
-        assert not bench.node.entries and not bench.node.endpoints.places
+        bench.node.listing.take({"version": 42, "servers": [*rows, {"id": "e1", "state": "DELETED"}]})
+        assert not bench.node.listing.entries and not bench.node.endpoints.places
 
     assert caplog.text.count("an entry is left out") == 2
 
@@ -198,7 +199,7 @@
 def test_what_a_whole_list_leaves_out_is_gone(tmp_path, full):
     @with_bench(tmp_path)
     async def _(bench):
-        bench.node.listed({"version": 42, "full": full, "servers": [bench.row | {"id": "e2"}]})
+        bench.node.listing.take({"version": 42, "full": full, "servers": [bench.row | {"id": "e2"}]})
         assert ("e1" in bench.node.endpoints.places) is not full
 
 
@@ -215,7 +216,7 @@
 
 def test_nothing_grows_where_endpoints_ids_and_keys_are_ever_new(tmp_path, monkeypatch):
     # Guards against memory that grows with each endpoint and message that has ever been.
-    monkeypatch.setattr(node_module, "LINGER_S", 0.0)
+    monkeypatch.setattr(listing, "LINGER_S", 0.0)
 
     @with_bench(tmp_path)
     async def _(bench):
@@ -223,7 +224,7 @@
             full = number % 2 == 0  # the one before is left out, or said to be deleted
             row = bench.row | {"id": f"n{number}", "cell": 1000 + number}
             gone = [] if full else [{"id": f"n{number - 1}", "state": "DELETED"}]
-            bench.node.listed({"version": number, "full": full, "servers": [row, *gone]})
+            bench.node.listing.take({"version": number, "full": full, "servers": [row, *gone]})
             bench.journal.chill(f"n{number}", 1.0)
             bench.offer(Offer(b"m%d" % number, "note", 1000 + number, 6000.0, b"", key=number + 1))
             bench.node.turn()
@@ -294,9 +295,9 @@
                     await asyncio.sleep(0.01)
                     bench.node.turn()
             case "move":
-                bench.node.listed({"version": 42, "servers": [bench.row | {"addr": "127.0.0.1:9"}]})
+                bench.node.listing.take({"version": 42, "servers": [bench.row | {"addr": "127.0.0.1:9"}]})
             case "removal":
-                bench.node.listed({"version": 42, "full": True, "servers": []})
+                bench.node.listing.take({"version": 42, "full": True, "servers": []})
                 first.answer(200)
         while bench.node.gathering or len(set(map(str, believed_and_held(bench)))) > 1:
             await asyncio.sleep(0.001)
--- a/tests/test_partners_cloudevents.py
+++ b/tests/test_partners_cloudevents.py
@@ -13,10 +13,11 @@
 from crowpier.interface import Outcome
 from rushhitch.cloudevents.events import Event
 from rushhitch.cloudevents.http import decode
-from rushhitch.fronts.taker import Offer
-from rushhitch.node import Node, with_singles
+from rushhitch.core.listing import with_singles
+from rushhitch.core.node import Node
 from rushhitch.partners.cloudevents import MODES, MOST_WAIT_MS, CloudEvents, retry_after_ms
 from rushhitch.partners.codec import Attempt
+from rushhitch.taker import Offer
 
 ATTRIBUTES = {"specversion": "1.0", "id": "ä 1", "source": "/books", "type": "com.example.paid", "seq": 7}
 NOW = 1_790_000_000.0  # 2026-09-21T14:13:20Z
@@ -148,8 +149,8 @@
         )
         settings = with_singles(settings)
         node = Node(settings, Dispatcher(settings, 1), bench.journal, bench.node.notify)
-        node.codecs = {7: CloudEvents("binary", "/rushhitch", {})}
-        node.listed({"version": 42, "full": True, "servers": [bench.row]})
+        node.listing.codecs = {7: CloudEvents("binary", "/rushhitch", {})}
+        node.listing.take({"version": 42, "full": True, "servers": [bench.row]})
         for number in range(8):
             node.offer(Offer(b"m%d" % number, "note", 7, 6000.0, b""), lambda reply: None)
         first = [await bench.partner.next() for _ in range(3)]
--- a/tests/test_partners_handshake.py
+++ b/tests/test_partners_handshake.py
@@ -143,15 +143,15 @@
     async def start(self, folder):
         self.bench = await Bench().start(folder)
         self.node, self.partner = self.bench.node, self.bench.partner
-        self.node.codecs = {7: CloudEvents("binary", "/rushhitch", {})}
+        self.node.listing.codecs = {7: CloudEvents("binary", "/rushhitch", {})}
         self.gate = Handshake(self.node, agreements(), {7}, "/in")
-        self.node.gate = self.gate
+        self.node.set_gate(self.gate)
         self.relist()
         self.gate.start()
         return self
 
     def relist(self, **changes):
-        self.node.listed({"version": 42, "full": False, "servers": [self.bench.row | changes]})
+        self.node.listing.take({"version": 42, "full": False, "servers": [self.bench.row | changes]})
 
     async def asked(self):
         request = await self.partner.next()
@@ -236,8 +236,8 @@
             await asyncio.sleep(0.01)
         made.bench.offer(type(OFFER)(b"m1", "note", 7, 400.0, b"hello"))
         assert (await made.bench.ends.get())[2] == "bounced" and made.partner.requests.empty()
-        made.node.listed({"version": 43, "full": True, "servers": []})
-        assert not made.gate.agreements.known and not made.node.rows, "one that is gone is forgotten"
+        made.node.listing.take({"version": 43, "full": True, "servers": []})
+        assert not made.gate.agreements.known and not made.node.listing.rows, "one that is gone is forgotten"
 
 
 def test_a_question_that_breaks_is_asked_again(tmp_path, monkeypatch):
@@ -276,14 +276,14 @@
     async def _(made):
         node, notes = made.node, []
         made.gate.tasks[1].cancel()
-        node.counts = LaneCounts([1.0])
-        node.counts.place("e1", 7, False)
-        node.note = notes.append
-        node.state_limits({7: 4.0})
+        node.limits.counts = LaneCounts([1.0])
+        node.limits.counts.place("e1", 7, False)
+        node.limits.note = notes.append
+        node.limits.state_limits({7: 4.0})
         dealt = {"slots_ms": 700.0, "slot": 3, "slots": (10.0,)}
-        node.guided(Allowance("d7", 9.0, 3.0, 1000.0, 50.0, **dealt))
-        node.guided(Allowance("d7", 2.0, 1.0, 1000.0, **dealt))
-        node.state_limits({7: 4.0})
+        node.limits.guided(Allowance("d7", 9.0, 3.0, 1000.0, 50.0, **dealt))
+        node.limits.guided(Allowance("d7", 2.0, 1.0, 1000.0, **dealt))
+        node.limits.state_limits({7: 4.0})
         own, high, low = notes
         assert (own.lane, own.per_s, own.slots) == (7, 4.0, ())
         assert (high.per_s, high.burst, high.wait_ms, high.slots) == (4.0, 1.0, 50.0, ())
@@ -291,10 +291,10 @@
         assert all(isinstance(note, Allowed) for note in notes)
         # A rate that is stated while a grant holds: lower it binds at once, higher it lifts nothing.
         notes.clear()
-        node.state_limits({7: 1.0})
+        node.limits.state_limits({7: 1.0})
         assert [note.per_s for note in notes] == [1.0]
-        node.stated.clear()
-        node.state_limits({7: 3.0})
+        node.limits.stated.clear()
+        node.limits.state_limits({7: 3.0})
         assert len(notes) == 1
 
 
@@ -303,7 +303,7 @@
     async def _(made):
         notes = []
         made.gate.tasks[1].cancel()
-        made.node.note = notes.append
-        object.__setattr__(made.node.settings, "dispatchers", 4)
-        made.node.state_limits({7: 4.0})
+        made.node.limits.note = notes.append
+        made.node.limits.dispatchers = 4
+        made.node.limits.state_limits({7: 4.0})
         assert notes[0].per_s == 1.0
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -14,10 +14,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from test_node import with_bench
 
-from rushhitch.fronts.taker import TAKEN, Offer
+from rushhitch.core.handing import Handing
+from rushhitch.core.operators import Operators
 from rushhitch.succession import channel as channels
 from rushhitch.succession.channel import Channel
 from rushhitch.succession.states import VERSION, Do, Incumbent, New, Old, Successor
+from rushhitch.taker import TAKEN, Offer
 
 
 class Upgrades(RuleBasedStateMachine):
@@ -483,9 +485,9 @@
         monkeypatch.setattr(bench.journal.files, "write", full)
         request.answer(200)
         await until(lambda: bench.journal.unsaved)
-        assert not await bench.node.freeze(), "an end that no file has would be forgotten"
+        assert not await Handing(bench.node).freeze(), "an end that no file has would be forgotten"
         monkeypatch.undo()
-        assert await bench.node.freeze()
+        assert await Handing(bench.node).freeze()
 
 
 def test_once_it_has_handed_over_a_process_writes_nothing_and_takes_nothing(tmp_path):
@@ -493,18 +495,18 @@
     async def _(bench):
         bench.offer()
         request = await bench.partner.next()
-        assert await bench.node.freeze()
+        assert await Handing(bench.node).freeze()
         results = []
-        lock, told = bench.node.yield_all(results.append)
+        lock, told = Handing(bench.node).yield_all(results.append)
         held = {path: path.read_bytes() for path in (tmp_path / "state").iterdir() if path.is_file()}
         assert [loan[:3] for loan in told["loans"]] == [(1, 0, "e1")]
         bench.node.offer(Offer(b"m2", "note", 7, 6000.0, b""), bench.answers.put_nowait)
         bench.node.withdraw(1)
-        bench.node.listed({"version": 50, "full": False, "servers": [bench.row]})
+        bench.node.listing.take({"version": 50, "full": False, "servers": [bench.row]})
         bench.node.turn()
         request.answer(200)
         await until(lambda: results)
-        assert results[0].over and bench.node.info()["inflight"] == 0
+        assert results[0].over and Operators(bench.node).info()["inflight"] == 0
         assert (await bench.answers.get()) == TAKEN and (await bench.answers.get()).what == "refused"
         assert held == {path: path.read_bytes() for path in (tmp_path / "state").iterdir() if path.is_file()}
         os.close(lock)
