Break the six circles of imports; a test holds the layers

taker.py has Acknowledgement and Verdict, which both fronts and core need; events.py has identity and digest; learned.py knows the decisions by a Protocol; process.py has the log and the loop that both __main__ and the commands start; in the lab the run hands clients their event connections and the bank its chance.

--- a/crowpier/learned.py
+++ b/crowpier/learned.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
-if TYPE_CHECKING:
-    from crowpier.logic import Dispatcher, Endpoint, Flow, Lane
+from crowpier.interface import Settings
 
 FLOW = ("count", "at", "since")
 LANE = ("wait_until", "next_at", "cut_at", "pace", "known", "fulls", "told_rate")
@@ -18,20 +17,39 @@
 TIMES = {"at", "since"}  # beside those that end in `_at` or `_until`
 
 
+class Knower(Protocol):
+    """What is read of the decisions, and set in them; lanes, flows and endpoints by the names above."""
+
+    settings: Settings
+    now: float
+    usual: dict[str, Any]
+    keep: float
+    keep_at: float
+    quotas: list[float]
+    destinations: dict[int, Any]
+    returns: set[str]
+    turns: dict[int, Any]
+    lanes: dict[int | str, Any]
+    endpoints: dict[str, Any]
+
+    def turn(self, key: int) -> Any:
+        """The turn of that key of order, made where there is none."""
+
+
 def is_time(name: str) -> bool:
     return name in TIMES or name.endswith(("_at", "_until"))
 
 
-def values(thing: Flow | Lane | Endpoint, names: tuple[str, ...]) -> list[Any]:
+def values(thing: object, names: tuple[str, ...]) -> list[Any]:
     return [getattr(thing, name) for name in names]
 
 
-def put(thing: Flow | Lane | Endpoint, names: tuple[str, ...], told: list[Any], ahead: float) -> None:
+def put(thing: object, names: tuple[str, ...], told: list[Any], ahead: float) -> None:
     for name, value in zip(names, told, strict=True):
         setattr(thing, name, value + ahead if is_time(name) else value)
 
 
-def export(dispatcher: Dispatcher) -> dict[str, Any]:
+def export(dispatcher: Knower) -> dict[str, Any]:
     """All that is worth having: of lanes their limits and waits, of endpoints their health, of classes and
     destinations their usual times, and until when keys of order rest."""
     settle = dispatcher.settings.order_settle_ms
@@ -57,7 +75,7 @@
     }
 
 
-def restore(dispatcher: Dispatcher, told: dict[str, Any], ahead_ms: float) -> None:
+def restore(dispatcher: Knower, told: dict[str, Any], ahead_ms: float) -> None:
     """Take it up; what is not listed here any more is left out. A `ValueError` where it makes no sense."""
     try:
         for name, usual in told["usual"].items():
--- a/lab/bank.py
+++ b/lab/bank.py
@@ -5,26 +5,33 @@
 
 import asyncio
 import itertools
-from typing import TYPE_CHECKING
+import random
+from collections.abc import Callable
+from typing import Protocol
 
 from lab.history import ACCEPTED
 from lab.http import Request
 from rushhitch.cloudevents.http import decode
 
-if TYPE_CHECKING:
-    from lab.partners import Endpoint, Partners
-
 KIND = "org.example.bank."  # and one of the verdicts
 SOURCE = "/bank/"  # and the destination
 TRY_S, ANSWER_S = 0.2, 2.0  # between two tries; for one
 TWICE = 0.2  # share of its words that it says again
 
 
+class Terms(Protocol):
+    """How a partner acknowledges: after how long, what share it denies, and its destination's number."""
+
+    dest: int
+    acknowledges_ms: float
+    denies: float
+
+
 class Bank:
-    """The acknowledgements of all partners of a run."""
+    """The acknowledgements of all partners of a run; `reply` tells the history what became of a message."""
 
-    def __init__(self, partners: Partners) -> None:
-        self.partners = partners
+    def __init__(self, chance: random.Random, reply: Callable[[int, list[str], str], None]) -> None:
+        self.chance, self.reply = chance, reply
         self.numbers = itertools.count(1)
         self.tasks: set[asyncio.Task[None]] = set()
         self.ports: dict[str, int] = {}  # of the fronts that serve, by dispatcher
@@ -35,24 +42,24 @@
         if event_port:
             self.ports[dispatcher] = event_port
 
-    def owe(self, endpoint: Endpoint, request: Request, call: int, ids: list[str]) -> None:
+    def owe(self, spec: Terms, request: Request, call: int, ids: list[str]) -> None:
         headers = [
             (name.decode("latin-1"), value.decode("latin-1")) for name, value in request.headers.items()
         ]
         _, events = decode(headers, request.body)
         dispatcher = request.connection.dispatcher
         for name, event in zip(ids, events, strict=True):
-            chance = self.partners.chance
-            verdict = "not-run" if chance.random() < endpoint.spec.denies else "delivered"
+            chance = self.chance
+            verdict = "not-run" if chance.random() < spec.denies else "delivered"
             twice = chance.random() < TWICE
-            work = self.tell(endpoint, dispatcher, call, name, event.identity, verdict, twice)  # type: ignore[union-attr]
+            work = self.tell(spec, dispatcher, call, name, event.identity, verdict, twice)  # type: ignore[union-attr]
             task = asyncio.get_running_loop().create_task(work)
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
     async def tell(
         self,
-        endpoint: Endpoint,
+        spec: Terms,
         dispatcher: str,
         call: int,
         name: str,
@@ -61,10 +68,10 @@
         twice: bool,
     ) -> None:
         """Say it until it is heard; then the history has what became of the message."""
-        chance, spec = self.partners.chance, endpoint.spec
+        chance = self.chance
         await asyncio.sleep(spec.acknowledges_ms / 1000.0 * chance.uniform(0.2, 1.8))
         if verdict == "not-run":  # it says so only of what it will never do: no effect from here on
-            self.partners.reply(call, [name], "denied")
+            self.reply(call, [name], "denied")
         number, status, unanswered = next(self.numbers), 0, False
         while status in (0, 503):
             status = await self.post(dispatcher, number, spec.dest, identity, verdict)
@@ -73,7 +80,7 @@
                 await asyncio.sleep(TRY_S)
         if verdict == "delivered":  # one that was heard by a process which was killed then is not known later
             heard = status == 200 or (status == 404 and unanswered)
-            self.partners.reply(call, [name], ACCEPTED if heard else "error")
+            self.reply(call, [name], ACCEPTED if heard else "error")
         if twice:
             await asyncio.sleep(TRY_S)
             await self.post(dispatcher, number, spec.dest, identity, verdict)
--- a/lab/clients.py
+++ b/lab/clients.py
@@ -51,6 +51,11 @@
         self.timer: asyncio.TimerHandle | None = None
         self.answer = b""
 
+    @staticmethod
+    def name_of(wire: str) -> str:
+        """How the history calls the message that goes by this name on the wire."""
+        return wire
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -99,8 +104,14 @@
     """All clients of a run. They go round the dispatchers that serve."""
 
     def __init__(
-        self, history: History, seed: int, retries: int = 1, speaks: Sequence[str] = SPEAKS[:1]
+        self,
+        history: History,
+        seed: int,
+        retries: int = 1,
+        speaks: Sequence[str] = SPEAKS[:1],
+        events: type[ClientConnection] | None = None,
     ) -> None:
+        self.events = events or ClientConnection  # the connections of clients that post events
         self.history, self.retries, self.speaks = history, retries, itertools.cycle(speaks)
         self.event_ports: dict[str, int] = {}
         self.loop = asyncio.get_running_loop()
@@ -134,9 +145,7 @@
     async def run(self, ask: Ask) -> None:
         name, speaks = f"m{next(self.ids)}", next(self.speaks)
         if speaks != "resp2":
-            from lab.events import SOURCE, name_of
-
-            ask.wire, name = name, name_of(SOURCE, name)
+            ask.wire, name = name, self.events.name_of(name)
         ask.origin, ask.first = ask.origin or name, ask.first or name
         if not self.ports:
             await asyncio.sleep(0.1)
@@ -170,9 +179,7 @@
                 return connection
         port, made = self.ports[dispatcher], ClientConnection
         if speaks != "resp2":
-            from lab.events import EventConnection
-
-            port, made = self.event_ports[dispatcher], EventConnection
+            port, made = self.event_ports[dispatcher], self.events
         _, connection = await asyncio.wait_for(
             self.loop.create_connection(lambda: made(self, dispatcher, speaks), "127.0.0.1", port),
             ANSWER_S,
--- a/lab/events.py
+++ b/lab/events.py
@@ -8,9 +8,8 @@
 
 from lab.clients import Ask, ClientConnection
 from lab.http import Request
-from rushhitch.cloudevents.events import BadEvent, Event
+from rushhitch.cloudevents.events import BadEvent, Event, digest
 from rushhitch.cloudevents.http import decode, encode_binary, encode_structured
-from rushhitch.cloudevents.mapping import digest
 
 SOURCE = "/lab"
 KIND = "org.example."  # and the class's name
@@ -25,6 +24,10 @@
 class EventConnection(ClientConnection):
     """One request at a time, in binary or structured mode."""
 
+    @staticmethod
+    def name_of(wire: str) -> str:
+        return name_of(SOURCE, wire)
+
     def write(self, ask: Ask) -> None:
         event = Event(
             {
--- a/lab/partners.py
+++ b/lab/partners.py
@@ -108,7 +108,7 @@
         self.cold = cold
         self.endpoints: dict[str, Endpoint] = {}
         self.lanes: dict[str, Lane] = {}
-        self.bank = Bank(self)
+        self.bank = Bank(self.chance, self.reply)
         self.admitted: dict[str, list[float]] = {}  # by lane, the times of calls, for the pressure
         self.loop = asyncio.get_running_loop()
 
@@ -336,7 +336,7 @@
     def end_well(self, endpoint: Endpoint, request: Request, call: int, ids: list[str]) -> None:
         if endpoint.spec.acknowledges_ms:
             request.connection.answer(202)
-            self.bank.owe(endpoint, request, call, ids)
+            self.bank.owe(endpoint.spec, request, call, ids)
             return
         if request.target != MANY:
             self.reply(call, ids, ACCEPTED)
--- a/lab/run.py
+++ b/lab/run.py
@@ -75,7 +75,9 @@
         self.chance = random.Random(f"load {scenario.seed}")
         self.specs = {spec.name: spec for spec in scenario.partners}
         self.factors = dict.fromkeys(self.specs, 1.0)
-        self.clients = Clients(self.history, scenario.seed, scenario.retries, scenario.clients)
+        self.clients = Clients(
+            self.history, scenario.seed, scenario.retries, scenario.clients, events.EventConnection
+        )
         cold = {
             "cold_from": self.settings.cold_from,
             "warm_ms": self.settings.warm_within_ms,
--- a/rushhitch/cli.py
+++ b/rushhitch/cli.py
@@ -37,8 +37,8 @@
 
 
 def forward() -> int:
-    from rushhitch.__main__ import run
     from rushhitch.config.platform import BadConfiguration, read_configuration
+    from rushhitch.process import run
     from rushhitch.service import serve
 
     def work() -> Coroutine[Any, Any, None]:
@@ -53,9 +53,9 @@
 
 
 def planner(told: argparse.Namespace) -> int:
-    from rushhitch.__main__ import run
     from rushhitch.config.own import BadOwn, read_own
     from rushhitch.planning import server, show
+    from rushhitch.process import run
 
     def work() -> Coroutine[Any, Any, None]:
         own = read_own(os.environ)
--- a/rushhitch/cloudevents/events.py
+++ b/rushhitch/cloudevents/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -9,6 +10,7 @@
 
 SPECVERSION = "1.0"
 REQUIRED = ("id", "source", "specversion", "type")
+IDENTITY_BYTES = 16  # of a digest: by chance two are alike once in 2^64 events
 MOST_DATA = 65_536  # bytes: what a call of the platform holds, so that any event can go on
 MOST_VALUE = 4_096  # characters of an attribute
 MOST_ATTRIBUTES = 64
@@ -28,6 +30,15 @@
 )
 
 
+def identity(source: str, name: str) -> bytes:
+    """How the core calls an event."""
+    return digest(f"{source}\0{name}").hex().encode()
+
+
+def digest(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=IDENTITY_BYTES).digest()
+
+
 class BadEvent(ValueError):
     """What came is no event that can be taken; it has an HTTP status, and names the attribute where one is to
     blame."""
--- a/rushhitch/cloudevents/mapping.py
+++ b/rushhitch/cloudevents/mapping.py
@@ -7,20 +7,15 @@
 
 from __future__ import annotations
 
-import hashlib
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
-from rushhitch.cloudevents.events import BadEvent, Event, moment
-from rushhitch.core.acknowledgements import Acknowledgement, Verdict
+from rushhitch.cloudevents.events import BadEvent, Event, digest, identity, moment
+from rushhitch.cloudevents.sinks import Sinks
+from rushhitch.taker import Acknowledgement, Verdict
 
 EXPIRY, KEY = "expirytime", "partitionkey"
-if TYPE_CHECKING:
-    from rushhitch.cloudevents.sinks import Sinks
-
-IDENTITY_BYTES = 16  # of a digest: by chance two are alike once in 2^64 events
 REST = ".*"  # a type that ends so stands for all that begin like it
 
 
@@ -93,15 +88,6 @@
     return Acknowledgement(acks.destinations[source], message, verdict, mark)
 
 
-def identity(source: str, name: str) -> bytes:
-    """How the core calls an event."""
-    return digest(f"{source}\0{name}").hex().encode()
-
-
-def digest(text: str) -> bytes:
-    return hashlib.blake2b(text.encode(), digest_size=IDENTITY_BYTES).digest()
-
-
 def class_of(kind: str, classes: Mapping[str, str]) -> str:
     """By the whole type, or by the longest beginning that is set."""
     if kind in classes:
--- a/rushhitch/cloudevents/sinks.py
+++ b/rushhitch/cloudevents/sinks.py
@@ -12,8 +12,7 @@
 
 import msgspec
 
-from rushhitch.cloudevents.events import SPECVERSION, BadEvent, Event
-from rushhitch.cloudevents.mapping import identity
+from rushhitch.cloudevents.events import SPECVERSION, BadEvent, Event, identity
 
 ROOM = 1_024  # bytes of a message that tells an end, attributes and all
 _read = msgspec.json.Decoder().decode
--- a/rushhitch/core/acknowledgements.py
+++ b/rushhitch/core/acknowledgements.py
@@ -8,33 +8,13 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
 from enum import Enum
 
-from rushhitch.taker import Reply
+from rushhitch.taker import Acknowledgement, Reply, Verdict
 
 MOST = 10_000  # ends that are remembered for acknowledgements that still come: 2 MB
 
 
-class Verdict(Enum):
-    """What an acknowledgement says of the message."""
-
-    DELIVERED = "delivered"
-    RAN = "ran"  # it failed, and may have had its effect
-    NOT_RUN = "not-run"  # it had no effect, so it may be sent again
-
-
-@dataclass(frozen=True, slots=True)
-class Acknowledgement:
-    """One that came in. `message` is the id by which the core knows the message, `mark` is the same for the
-    same acknowledgement sent again."""
-
-    destination: int
-    message: bytes
-    verdict: Verdict
-    mark: bytes
-
-
 class Effect(Enum):
     """What to do with one for a message that is held."""
 
--- a/rushhitch/core/messages.py
+++ b/rushhitch/core/messages.py
@@ -5,10 +5,9 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from rushhitch.core.acknowledgements import Verdict
 from rushhitch.endpoints import Result
 from rushhitch.journal import Kept
-from rushhitch.taker import Answer
+from rushhitch.taker import Answer, Verdict
 
 
 @dataclass(frozen=True, slots=True)
--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -16,15 +16,7 @@
 from crowpier.interface import Outcome, Settings
 from rushhitch.config.history import History
 from rushhitch.control.bans import Bans
-from rushhitch.core.acknowledgements import (
-    ACKNOWLEDGED,
-    UNKNOWN,
-    Acknowledgement,
-    Effect,
-    Past,
-    Verdict,
-    effect,
-)
+from rushhitch.core.acknowledgements import ACKNOWLEDGED, UNKNOWN, Effect, Past, effect
 from rushhitch.core.ended import KEEP_S, MOST, End, Ended
 from rushhitch.core.figures import Figures
 from rushhitch.core.limits import Limits
@@ -36,7 +28,18 @@
 from rushhitch.journal.space import RECORD_ROOM
 from rushhitch.partners.codec import Attempt, Codec
 from rushhitch.partners.gate import Gate
-from rushhitch.taker import DELIVERED, FAILED, TAKEN, Answer, BadRequest, Offer, Pending, Reply
+from rushhitch.taker import (
+    DELIVERED,
+    FAILED,
+    TAKEN,
+    Acknowledgement,
+    Answer,
+    BadRequest,
+    Offer,
+    Pending,
+    Reply,
+    Verdict,
+)
 
 if TYPE_CHECKING:
     from rushhitch.cloudevents.sinks import Sinks
--- a/rushhitch/partners/handshake.py
+++ b/rushhitch/partners/handshake.py
@@ -6,13 +6,13 @@
 import logging
 import math
 import time
-from collections.abc import Collection
-from typing import TYPE_CHECKING
+from collections.abc import Awaitable, Callable, Collection, Mapping
 
-from rushhitch.partners.agreements import Agreements
+import h11
 
-if TYPE_CHECKING:
-    from rushhitch.core.node import Node
+from rushhitch.connection import Headers
+from rushhitch.partners.agreements import Agreements
+from rushhitch.partners.gate import Covered
 
 log = logging.getLogger(__name__)
 
@@ -24,8 +24,17 @@
     """The gate of a node (`partners.gate.Gate`): its destinations get nothing until their endpoints have
     agreed, and no more than they state."""
 
-    def __init__(self, node: Node, agreements: Agreements, destinations: Collection[int], path: str) -> None:
-        self.node, self.agreements, self.path = node, agreements, path
+    def __init__(
+        self,
+        ask: Callable[[str, str, str, Headers], Awaitable[h11.Response]],
+        state_limits: Callable[[Mapping[int | str, float]], None],
+        covered: Covered,
+        agreements: Agreements,
+        destinations: Collection[int],
+        path: str,
+    ) -> None:
+        self.ask_endpoint, self.state_limits, self.covered = ask, state_limits, covered
+        self.agreements, self.path = agreements, path
         self.destinations = frozenset(destinations)
         self.out: set[asyncio.Task[None]] = set()
         self.woken = asyncio.Event()
@@ -88,7 +97,7 @@
         """One question; whatever goes wrong, the agreements hear of it, or it would never be asked again."""
         headers = self.agreements.question()
         try:
-            answer = await self.node.endpoints.ask(endpoint, "OPTIONS", self.path, headers)
+            answer = await self.ask_endpoint(endpoint, "OPTIONS", self.path, headers)
         except Exception as error:
             log.debug("the question to %s broke: %r", endpoint, error)
             self.agreements.unanswered(self.now(), endpoint, f"no answer: {error!r}")
@@ -103,21 +112,21 @@
             log.info("%s agrees to be sent events: %s", endpoint, rate)
         else:
             log.warning("%s does not agree to be sent events: %s", endpoint, known.why)
-        self.node.limits.state_limits(self.rates())  # before the first call can go
-        self.node.listing.regate(endpoint)
+        self.state_limits(self.rates())  # before the first call can go
+        self.covered.regate(endpoint)
 
     # Stated limits
 
     async def state(self) -> None:
         while True:
-            self.node.limits.state_limits(self.rates())
+            self.state_limits(self.rates())
             await asyncio.sleep(STATE_S)
 
     def rates(self) -> dict[int | str, float]:
         """Calls a second by lane, of those that state a limit: the lowest where endpoints share one, so that
         no endpoint gets more than it allows."""
         found: dict[int | str, float] = {}
-        for endpoint, lane in self.node.listing.gated_lanes().items():
+        for endpoint, lane in self.covered.gated_lanes().items():
             per_s = self.agreements.per_s(endpoint)
             if per_s < math.inf:
                 found[lane] = min(found.get(lane, math.inf), per_s)
--- /dev/null
+++ b/rushhitch/process.py
@@ -0,0 +1,58 @@
+"""What every process of the program has: the log, the event loop, exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from rushhitch.config.own import BadOwn, read_own
+from rushhitch.config.platform import BadConfiguration
+
+
+class Throttle(logging.Filter):
+    """Guards against a log that a flood fills: so many lines a second from one place, and then a count."""
+
+    def __init__(self, most: int = 5) -> None:
+        super().__init__()
+        self.most = most
+        self.seen: dict[tuple[str, int], tuple[int, int]] = {}  # by place: the second, and the lines in it
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        place, second = (record.pathname, record.lineno), int(record.created)
+        since, count = self.seen.get(place, (second, 0))
+        if second > since:
+            if count > self.most:
+                record.msg = f"{record.getMessage()} (and {count - self.most} lines like it were left out)"
+                record.args = None
+            since, count = second, 0
+        self.seen[place] = (since, count + 1)
+        return count < self.most
+
+
+def loop_factory(loop: str) -> Callable[[], asyncio.AbstractEventLoop] | None:
+    """What makes the event loop that is set; None for that of the standard library."""
+    if loop != "uvloop":
+        return None
+    import uvloop  # only where it is on: it takes 3 MB
+
+    return uvloop.new_event_loop
+
+
+def run(work: Callable[[], Coroutine[Any, Any, None]]) -> int:
+    """Log to standard error and run a process's work; 2 where its configuration makes no sense."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(Throttle())
+    logging.basicConfig(
+        handlers=[handler], level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s"
+    )
+    try:
+        with asyncio.Runner(loop_factory=loop_factory(read_own(os.environ).loop)) as runner:
+            runner.run(work())
+    except (BadConfiguration, BadOwn) as error:
+        print(f"rushhitch: {error}", file=sys.stderr)
+        return 2
+    return 0
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -286,7 +286,8 @@
 
     asking = own.events.handshake
     agreements = Agreements(asking.origin, asking.rate, asking.renew_s * 1000.0)
-    handshake = Handshake(node, agreements, asking.destinations, own.events.path)
+    seams = (node.endpoints.ask, node.limits.state_limits, node.listing)
+    handshake = Handshake(*seams, agreements, asking.destinations, own.events.path)
     node.set_gate(handshake)
     return handshake
 
@@ -307,8 +308,8 @@
 ) -> None:
     """The CloudEvents front, beside RESP2 and within the same bounds."""
     from rushhitch.cloudevents.mapping import Acks, Rules  # with its library: only where it is on
-    from rushhitch.core.acknowledgements import Verdict
     from rushhitch.fronts.cloudevents import CloudEvents, front
+    from rushhitch.taker import Verdict
 
     events = configuration.own.events
     assert events is not None and events.listen is not None, "asked for only where it is set"
--- a/rushhitch/taker.py
+++ b/rushhitch/taker.py
@@ -4,10 +4,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
-
-if TYPE_CHECKING:
-    from rushhitch.core.acknowledgements import Acknowledgement
+from enum import Enum
+from typing import Protocol
 
 MOST_BODY = 65_536  # bytes of a message
 MOST_ID = 128  # bytes of its id
@@ -43,6 +41,25 @@
 Answer = Callable[[Reply], None]
 
 
+class Verdict(Enum):
+    """What an acknowledgement says of the message."""
+
+    DELIVERED = "delivered"
+    RAN = "ran"  # it failed, and may have had its effect
+    NOT_RUN = "not-run"  # it had no effect, so it may be sent again
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledgement:
+    """One that came in. `message` is the id by which the core knows the message, `mark` is the same for the
+    same acknowledgement sent again."""
+
+    destination: int
+    message: bytes
+    verdict: Verdict
+    mark: bytes
+
+
 class BadRequest(ValueError):
     """The request makes no sense; the text says what is wrong."""
 
--- a/tests/test_acknowledgements.py
+++ b/tests/test_acknowledgements.py
@@ -11,17 +11,7 @@
 
 from rushhitch.cloudevents.events import BadEvent, Event
 from rushhitch.cloudevents.mapping import Acks, Rules, acknowledgement, identity
-from rushhitch.core.acknowledgements import (
-    ACKNOWLEDGED,
-    DIFFERS,
-    LATE,
-    UNKNOWN,
-    Acknowledgement,
-    Effect,
-    Past,
-    Verdict,
-    effect,
-)
+from rushhitch.core.acknowledgements import ACKNOWLEDGED, DIFFERS, LATE, UNKNOWN, Effect, Past, effect
 from rushhitch.core.node import Node
 from rushhitch.fronts.cloudevents import front
 from rushhitch.fronts.listener import Clients
@@ -29,7 +19,7 @@
 from rushhitch.journal import Journal
 from rushhitch.journal.inspect import table
 from rushhitch.partners.cloudevents import CloudEvents
-from rushhitch.taker import Offer
+from rushhitch.taker import Acknowledgement, Offer, Verdict
 
 TYPES = {"org.bank.done": Verdict.DELIVERED, "org.bank.broke": Verdict.RAN, "org.bank.never": Verdict.NOT_RUN}
 DONE, BROKE, NEVER = TYPES
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,97 @@
+"""Imports form no circle, and no package reaches up: `LAYERS` has them from the top down."""
+
+import grimp
+import pytest
+
+LAYERS = (
+    "rushhitch.__main__",
+    "rushhitch.cli",
+    "rushhitch.service",
+    "rushhitch.succession",
+    "rushhitch.core",
+    "rushhitch.fronts",
+    "rushhitch.discovery",
+    "rushhitch.endpoints",
+    "rushhitch.partners",
+    "rushhitch.cloudevents",
+    "rushhitch.taker",
+    "rushhitch.planning",
+    "rushhitch.process",
+    "rushhitch.config",
+    "rushhitch.connection",
+    "rushhitch.control",
+    "rushhitch.journal",
+    "crowpier.benchlink",
+    "crowpier.logic",
+    "crowpier.learned",
+    "crowpier.interface",
+)
+
+
+@pytest.fixture(scope="module")
+def graph():
+    return grimp.build_graph("rushhitch", "crowpier", "lab", cache_dir=None)
+
+
+def circles(imports):
+    """Groups of modules that reach each other (Tarjan)."""
+    found, index, low, stack = [], {}, {}, []
+
+    def visit(module):
+        index[module] = low[module] = len(index)
+        stack.append(module)
+        for other in imports.get(module, ()):
+            if other not in index:
+                visit(other)
+                low[module] = min(low[module], low[other])
+            elif other in stack:
+                low[module] = min(low[module], index[other])
+        if low[module] == index[module]:
+            group = stack[stack.index(module) :]
+            del stack[stack.index(module) :]
+            if len(group) > 1:
+                found.append(sorted(group))
+
+    for module in imports:
+        if module not in index:
+            visit(module)
+    return found
+
+
+def layer_of(module):
+    return next((n for n, name in enumerate(LAYERS) if f"{module}.".startswith(f"{name}.")), None)
+
+
+def reaching_up(imports):
+    """Imports of a package that stands above."""
+    return [
+        f"{module} imports {other}"
+        for module, others in imports.items()
+        for other in others
+        if layer_of(module) is not None and layer_of(other) is not None and layer_of(other) < layer_of(module)
+    ]
+
+
+def test_no_modules_import_each_other_in_a_circle(graph):
+    assert circles({m: graph.find_modules_directly_imported_by(m) for m in graph.modules}) == []
+
+
+def test_no_package_imports_one_that_stands_above_it(graph):
+    assert reaching_up({m: graph.find_modules_directly_imported_by(m) for m in graph.modules}) == []
+
+
+def test_each_module_has_its_layer_and_the_lab_is_never_imported(graph):
+    roots = {"rushhitch", "crowpier", "lab"}
+    without = {m for m in graph.modules if layer_of(m) is None and m.split(".")[0] != "lab"} - roots
+    assert not without, "give them a place in LAYERS"
+    assert len(graph.modules) > 60
+    for module in graph.modules:
+        if module.split(".")[0] != "lab":
+            assert not any(o.split(".")[0] == "lab" for o in graph.find_modules_directly_imported_by(module))
+
+
+def test_a_circle_and_an_import_upwards_are_found():
+    assert circles({"a": ["b"], "b": ["c"], "c": ["a"], "d": ["a"]}) == [["a", "b", "c"]]
+    assert reaching_up({"rushhitch.journal.store": ["rushhitch.core.node", "crowpier.interface"]}) == [
+        "rushhitch.journal.store imports rushhitch.core.node"
+    ]
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from rushhitch.__main__ import loop_factory
 from rushhitch.config.own import (
     LOOPS,
     SYNCS,
@@ -20,6 +19,7 @@
     read_own,
 )
 from rushhitch.journal import Sync
+from rushhitch.process import loop_factory
 
 
 def test_the_file_of_the_repository_is_sound_and_promises_what_the_platform_needs():
--- a/tests/test_partners_handshake.py
+++ b/tests/test_partners_handshake.py
@@ -144,7 +144,8 @@
         self.bench = await Bench().start(folder)
         self.node, self.partner = self.bench.node, self.bench.partner
         self.node.listing.codecs = {7: CloudEvents("binary", "/rushhitch", {})}
-        self.gate = Handshake(self.node, agreements(), {7}, "/in")
+        seams = (self.node.endpoints.ask, self.node.limits.state_limits, self.node.listing)
+        self.gate = Handshake(*seams, agreements(), {7}, "/in")
         self.node.set_gate(self.gate)
         self.relist()
         self.gate.start()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,7 +12,7 @@
 import pytest
 from doubles import ROOT, Peer, Program, run
 
-from rushhitch.__main__ import Throttle
+from rushhitch.process import Throttle
 
 
 def with_program(tmp_path, batch=1):
