Addresses that tests tell ahead are on a loopback host of their own process

Cause: in one of three repeated runs of the suite (beside a load) an upgrade's test found its RESP2 port taken by its own control listener: the port had been found free, given back, and the kernel gave it to the next who bound port 0.

--- a/lab/run.py
+++ b/lab/run.py
@@ -9,7 +9,6 @@
 import math
 import random
 import signal
-import socket
 import tempfile
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -18,6 +17,7 @@
 from crowpier.benchlink import settings_of
 from crowpier.interface import Settings
 from lab import bank, events, report
+from lab.addresses import free_address
 from lab.clients import Ask, Clients
 from lab.directory import Directory
 from lab.history import History, without_guests
@@ -88,7 +88,7 @@
         self.directory = Directory(self.names, self.address, self.history, self.clients.heard)
         self.dispatchers: dict[str, Dispatcher] = {}
         self.planners: dict[str, PlannerProcess] = {}
-        self.planner_ports: dict[str, int] = {}
+        self.planner_addresses: dict[str, tuple[str, int]] = {}
         self.ways: dict[tuple[str, str], Way] = {}  # by dispatcher and planner, where a fault is to hit one
         self.disk_most: dict[str, int] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -106,9 +106,9 @@
             self.list(endpoint)
         await self.directory.start()
         toml = self.folder / "rushhitch.toml"
-        self.choose_ports()
-        toml.write_text(self.toml(self.planner_ports))
-        for name in self.planner_ports:
+        self.choose_addresses()
+        toml.write_text(self.toml(self.planner_addresses))
+        for name in self.planner_addresses:
             self.planners[name] = PlannerProcess(name, self.folder / name, toml)
             await self.planners[name].start()
         for index, name in enumerate(self.names):
@@ -144,24 +144,24 @@
         self.clients.serves(name, port, event_port)
         self.partners.bank.serves(name, event_port if port is not None else 0)
 
-    def choose_ports(self) -> None:
-        """Planners' ports are fixed before they listen, so that they may start again."""
+    def choose_addresses(self) -> None:
+        """Planners' addresses are fixed before they listen, so that they may start again."""
         for number in range(self.scenario.planners):
-            with socket.create_server(("127.0.0.1", 0)) as free:
-                self.planner_ports[f"p{number}"] = free.getsockname()[1]
+            self.planner_addresses[f"p{number}"] = free_address()
 
     async def own_ways(self, dispatcher: str) -> Path:
         """The settings of a dispatcher that reaches each planner by a way that faults can hit."""
-        ports = {}
-        for planner, port in self.planner_ports.items():
-            way = self.ways[dispatcher, planner] = Way(port, f"{self.scenario.seed} {dispatcher} {planner}")
-            ports[planner] = await way.start()
+        addresses = {}
+        for planner, address in self.planner_addresses.items():
+            seed = f"{self.scenario.seed} {dispatcher} {planner}"
+            way = self.ways[dispatcher, planner] = Way(address, seed)
+            addresses[planner] = ("127.0.0.1", await way.start())
         path = self.folder / f"{dispatcher}.toml"
-        path.write_text(self.toml(ports))
+        path.write_text(self.toml(addresses))
         return path
 
-    def toml(self, ports: dict[str, int]) -> str:
-        """A process's own settings; with planners at these ports, if any."""
+    def toml(self, addresses: dict[str, tuple[str, int]]) -> str:
+        """A process's own settings; with planners there, if any."""
         journal = f'[journal]\nsync = "{self.scenario.sync}"\n'
         modes = {spec.dest: spec.speaks for spec in self.scenario.partners if spec.speaks != "platform"}
         if modes or set(self.scenario.clients) != {"resp2"}:
@@ -170,11 +170,11 @@
                 journal += bank.toml(banks)
             if asked := [spec.dest for spec in self.scenario.partners if spec.agrees_per_min]:
                 journal += f'handshake = {{ origin = "lab.example.com", destinations = {asked} }}\n'
-        if not ports:
+        if not addresses:
             return journal
         secret = self.folder / "secret"
         secret.write_text(f"a secret of the lab, {self.scenario.seed}")
-        pairs = ", ".join(f'{name} = "127.0.0.1:{port}"' for name, port in ports.items())
+        pairs = ", ".join(f'{name} = "{host}:{port}"' for name, (host, port) in addresses.items())
         told = self.settings
         return (
             journal + f'[planning]\nsecret_file = "{secret}"\nplanners = {{ {pairs} }}\n'
--- a/lab/ways.py
+++ b/lab/ways.py
@@ -36,8 +36,8 @@
 class Way:
     """One forwarder's way to one planner."""
 
-    def __init__(self, port: int, seed: str) -> None:
-        self.upstream = port
+    def __init__(self, upstream: tuple[str, int], seed: str) -> None:
+        self.upstream = upstream
         self.chance = random.Random(f"way {seed}")
         self.faults = WayFaults()
         self.changed = asyncio.Event()
@@ -80,7 +80,7 @@
             writer.transport.abort()
             return
         try:
-            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.upstream)
+            far_reader, far_writer = await asyncio.open_connection(*self.upstream)
         except OSError:
             writer.transport.abort()
             return
--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -100,7 +100,7 @@
     """The real program in a process of its own, with one partner and the platform as doubles."""
 
     def __init__(self, folder: Path, batch: int = 1) -> None:
-        self.folder, self.batch = folder, batch
+        self.folder, self.batch, self.host = folder, batch, "127.0.0.1"
         (folder / "state").mkdir(exist_ok=True)
         self.process: asyncio.subprocess.Process | None = None
         self.log: list[str] = []
@@ -155,7 +155,7 @@
         return Journal(self.folder / "state", float("inf"), writable=False)
 
     async def client(self) -> Client:
-        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+        return Client(*await asyncio.open_connection(self.host, self.port))
 
     async def notice(self) -> dict:
         """The next notice, which is answered; watches that come meanwhile stay silent."""
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -14,6 +14,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from test_node import with_bench
 
+from lab.addresses import free_address
 from rushhitch.core.handing import Handing
 from rushhitch.core.operators import Operators
 from rushhitch.succession import channel as channels
@@ -208,8 +209,8 @@
         return super().config() | {"listen": self.listen, "control": "127.0.0.1:0"}
 
     async def surroundings(self):
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.listen = "{}:{}".format(*free.getsockname())
+        self.host, port = free_address()
+        self.listen = f"{self.host}:{port}"
         return await super().surroundings()
 
     async def start(self):
