Membership among the dispatchers: deciding part, wire, shell, command; off unless set

Need: each dispatcher knows how many there are from its settings alone, and a kill, a pause or a cut changes nothing.

--- a/rushhitch/cli.py
+++ b/rushhitch/cli.py
@@ -28,11 +28,19 @@
     plan = commands.add_parser("plan", help="a planner")
     plan.add_argument("name", help="which of the [planning] planners it is")
     plan.add_argument("--show", action="store_true", help="print the view of the one that runs, and end")
+    members = commands.add_parser("members", help="who is there, as a running dispatcher holds it")
+    members.add_argument("address", help="host:port of its [membership] listen")
+    members.add_argument("--json", action="store_true", help="all that it tells, as one JSON object")
+    members.add_argument("--watch", action="store_true", help="again every second, until interrupted")
     told = parser.parse_args(words)
     if told.command == "forward":
         return forward()
     if told.command == "plan":
         return planner(told)
+    if told.command == "members":
+        from rushhitch.membership import show
+
+        return show.main(told.address, told.json, told.watch)
     return journal_command(told)
 
 
--- a/rushhitch/config/own.py
+++ b/rushhitch/config/own.py
@@ -76,6 +76,20 @@
     acknowledgements: Acknowledging | None = None  # where some answer 202 first and tell the end later
 
 
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """`[membership]`: how this dispatcher is known to the others, and where it finds them."""
+
+    name: str  # of this dispatcher in the fleet; "": the platform's name for it
+    listen: tuple[str, int]  # for datagrams and streams; the others reach it there
+    advertise: tuple[str, int]  # where the others reach it; `listen`, unless something stands between
+    seeds: tuple[tuple[str, int], ...]  # members that are asked for the others, itself maybe among them
+    secret: bytes
+    building: str = ""
+    fleet: int = 0  # how many run at most; 0: the number of dispatchers in the platform's settings
+    forget_s: float = 600.0  # one that is gone for so long counts no more
+
+
 @dataclass(frozen=True, slots=True)
 class Own:
     """The settings of the file, by section and key; each has a default."""
@@ -88,6 +102,7 @@
     warm_ms: float = 10_000.0
     fall_multiple: float = 2.0
     events: Events | None = None  # [cloudevents], where it has `listen`
+    membership: Membership | None = None  # [membership], where it has `listen`
 
 
 def read_own(environ: Mapping[str, str]) -> Own:
@@ -130,6 +145,16 @@
             "sinks",
         },
         "planning": {"planners", "secret_file", "cold_from", "warm_ms", "fall_multiple"},
+        "membership": {
+            "name",
+            "listen",
+            "advertise",
+            "seeds",
+            "building",
+            "secret_file",
+            "fleet",
+            "forget_s",
+        },
     }
     for section, values in told.items():
         if section not in known:
@@ -147,7 +172,9 @@
     sync = choice_of(told, "journal", "sync", SYNCS, text, name)
     loop = choice_of(told, "process", "loop", LOOPS, text, name)
     events = events_of(told.get("cloudevents", {}), text, name)
-    return Own(sync, loop, **planning_of(told.get("planning", {}), text, name), events=events)
+    member = membership_of(told.get("membership", {}), text, name)
+    planning = planning_of(told.get("planning", {}), text, name)
+    return Own(sync, loop, **planning, events=events, membership=member)
 
 
 def choice_of(
@@ -195,6 +222,44 @@
     return found
 
 
+def membership_of(told: dict[str, Any], text: str, name: str) -> Membership | None:
+    """`[membership]`; None where there is none."""
+
+    def fault(key: str, what: str) -> BadOwn:
+        return BadOwn(f"{name}:{line_of(text, 'membership', key)}: {what}")
+
+    if not told:
+        return None
+    listen = address_of(told.get("listen"))
+    if listen is None or not listen[1]:
+        raise fault("listen", f'listen must be of the form "host:port", not {told.get("listen")!r}')
+    advertise = address_of(told["advertise"]) if "advertise" in told else listen
+    if advertise is None or not advertise[1]:
+        raise fault("advertise", f'advertise must be of the form "host:port", not {told["advertise"]!r}')
+    seeds = told.get("seeds", [])
+    found = [address_of(seed) for seed in seeds] if isinstance(seeds, list) else [None]
+    if not found or None in found:
+        raise fault("seeds", f'seeds must be a list of addresses: seeds = ["127.0.0.1:7101"], not {seeds!r}')
+    for key in ("name", "building"):
+        if not isinstance(told.get(key, ""), str) or len(told.get(key, "")) > 64:
+            raise fault(key, f"{key} must be a text of up to 64 characters, not {told[key]!r}")
+    fleet, forget = told.get("fleet", 0), told.get("forget_s", 600.0)
+    if type(fleet) is not int or not 0 <= fleet <= 10_000:
+        raise fault("fleet", f"fleet must be a whole number from 0 to 10000, not {fleet!r}")
+    if isinstance(forget, bool) or not isinstance(forget, (int, float)) or not 10 <= forget <= 1e6:
+        raise fault("forget_s", f"forget_s must be seconds from 10 to 1e6, not {forget!r}")
+    try:
+        secret = Path(told.get("secret_file", "")).read_bytes().strip()
+    except (OSError, TypeError) as error:
+        raise fault("secret_file", f"secret_file: {error}: name a file that can be read") from None
+    if len(secret) < LEAST_SECRET:
+        what = f"secret_file must hold {LEAST_SECRET} bytes or more, the same for the whole fleet"
+        raise fault("secret_file", what)
+    addresses = tuple(seed for seed in found if seed is not None)
+    places = (listen, advertise, addresses)
+    return Membership(told.get("name", ""), *places, secret, told.get("building", ""), fleet, float(forget))
+
+
 def address_of(value: Any) -> tuple[str, int] | None:
     """`host:port` as a pair; None where it is something else."""
     host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
--- a/rushhitch/core/handing.py
+++ b/rushhitch/core/handing.py
@@ -19,6 +19,7 @@
 
     def __init__(self, node: Node) -> None:
         self.node = node
+        self.more: Callable[[], dict[str, Any]] = dict  # what others hand over, as this process ends it
 
     async def freeze(self) -> bool:
         """Send nothing more; what is not written whole is called back, and what came in is in the journal.
@@ -44,6 +45,7 @@
             "loans": [astuple(loan) for loan in loans],
             "waits": [(lane, until) for lane, until in node.endpoints.waits.items() if until > now],
             "servers": list(node.listing.servers.values()),
+            **self.more(),
         }
         node.yielded = True
         node.endpoints.report = report
--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -128,6 +128,14 @@
         self.endpoints.settings = settings
         self.note(api.Reconfigured(settings))
 
+    def resize(self, dispatchers: int) -> None:
+        """So many may be sharing limits and returns from now on, this one among them."""
+        if dispatchers != self.settings.dispatchers:
+            self.settings = replace(self.settings, dispatchers=dispatchers)
+            self.limits.dispatchers = dispatchers
+            self.endpoints.settings = self.settings
+            self.note(api.Reconfigured(self.settings))
+
     def offer(self, offer: Offer, answer: Answer, ended: Answer | None = None) -> int:
         """A client hands a message in; it is answered at the end of the turn. `Taker` tells the rest."""
         if self.yielded:
--- a/rushhitch/discovery.py
+++ b/rushhitch/discovery.py
@@ -34,9 +34,14 @@
     fail again. So rests grow with the number of dispatchers, and the first ask waits too: a list is known."""
 
     def __init__(self, chance: random.Random, dispatchers: int = 1) -> None:
-        self.chance, self.share_s, self.failures = chance, SHARE_S * (dispatchers - 1), 0
+        self.chance, self.failures = chance, 0
+        self.resize(dispatchers)
         self.spread_s = min(self.share_s, LONGEST_S)
 
+    def resize(self, dispatchers: int) -> None:
+        """So many ask from now on, this one among them."""
+        self.share_s = SHARE_S * (dispatchers - 1)
+
     def first(self) -> float:
         """Seconds until the first of the process; one at a new address comes at once, the list may be old."""
         spread_s, self.spread_s = self.spread_s, 0.0
--- /dev/null
+++ b/rushhitch/membership/show.py
@@ -0,0 +1,74 @@
+"""`python -m rushhitch members ADDRESS`: what a running dispatcher holds of the others."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import time
+from typing import Any
+
+from rushhitch.config.own import BadOwn, Membership, address_of, read_own
+from rushhitch.membership.server import call
+from rushhitch.membership.wire import Role, WireError
+
+PATIENCE_S = 3.0
+WATCH_S = 1.0
+
+
+async def fetch(address: tuple[str, int], secret: bytes) -> dict[str, Any]:
+    """What it tells. Raises `OSError`, `TimeoutError` or `WireError` where it cannot be had."""
+    async with asyncio.timeout(PATIENCE_S):
+        process = int.from_bytes(os.urandom(8), "big")
+        return json.loads(await call(address, Role.SHOW, process, secret, b""))
+
+
+def table(told: dict[str, Any]) -> str:
+    """Who is there, since when, and which ways work in one direction only."""
+    rows = [("member", "state", "for s", "building", "incarnation", "address", "way")]
+    for row in told["members"]:
+        way = "itself" if row["name"] == told["name"] else "by others only" if row["one_way"] else ""
+        since, incarnation = f"{row['for_s']:.0f}", str(row["incarnation"])
+        rows.append((row["name"], row["state"], since, row["building"], incarnation, row["address"], way))
+    widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip() for row in rows
+    ]
+    flags = [what for what in ("alone", "displaced") if told[what]]
+    flags += [] if told["leased"] else ["out of touch with half of them"]
+    head = (
+        f"{told['name']}: {told['least']} to {told['most']} may be acting; "
+        f"doubt of itself {told['doubt']} of 8; "
+        f"{told['sent_per_s']:.1f} datagrams and {told['sent_bytes_per_s']:.0f} bytes a second sent, "
+        f"{told['received_per_s']:.1f} and {told['received_bytes_per_s']:.0f} received"
+    )
+    return "\n".join([head, *(f"  {flag}" for flag in flags), *lines])
+
+
+def main(word: str, as_json: bool, watch: bool) -> int:
+    """0 where it was told, 2 where it could not be had."""
+    try:
+        own = read_own(os.environ).membership
+        if own is None:
+            raise BadOwn("members needs [membership] in deploy/rushhitch.toml: its secret_file is the way in")
+        if (address := address_of(word)) is None:
+            raise BadOwn(f"members {word}: write host:port, the [membership] listen of a dispatcher")
+        while True:
+            told = ask(own, address)
+            print(json.dumps(told) if as_json else table(told), flush=True)
+            if not watch:
+                return 0
+            time.sleep(WATCH_S)
+    except BadOwn as error:
+        print(f"rushhitch: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 0
+
+
+def ask(own: Membership, address: tuple[str, int]) -> dict[str, Any]:
+    try:
+        return asyncio.run(fetch(address, own.secret))
+    except (OSError, TimeoutError, WireError) as error:
+        raise BadOwn(f"no answer from {address[0]}:{address[1]}: {error!r}") from None
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -45,6 +46,7 @@
 
 if TYPE_CHECKING:
     from rushhitch.cloudevents.sinks import Sinks
+    from rushhitch.membership.server import Server as Member
     from rushhitch.partners.handshake import Handshake
     from rushhitch.planning.client import PlannerClient
 
@@ -57,6 +59,7 @@
 CLIENT_SHARE = 1 / 3  # of the descriptors: clients hold so many at most for requests
 BEGUN_SHARE = 0.1  # of the memory: requests that are half sent take so much at most
 SETTINGS = "settings"  # the file in the folder that lasts which has their history
+SIZE_S = 0.5  # between two looks at how many dispatchers may be acting, where there is membership
 SPARE_CLIENTS = 24  # beyond them, for those that come to be turned away
 
 
@@ -147,7 +150,10 @@
             lambda: self.watch.version,
             desk.own(operators),
         )
+        self.member = make_member(configuration, inheritance.told)
+        self.handing.more = self.hand_membership
         self.reloading: asyncio.Task[None] | None = None
+        self.sizing: asyncio.TimerHandle | None = None
 
     def start(self, takeover: Takeover, changed: asyncio.Event) -> None:
         """Go on with what is there, and take what comes."""
@@ -162,6 +168,12 @@
             self.planners.start()
         if self.handshake is not None:
             self.handshake.start()
+        if self.member is not None:
+            try:
+                self.member.start()
+            except OSError as error:
+                raise BadConfiguration(f"[membership] listen: {error}") from None
+            self.size()
         self.reloading = self.loop.create_task(reload(changed, configuration, node, self.kept, self.platform))
         listeners = self.inheritance.listeners
         try:
@@ -202,6 +214,23 @@
         takeover.relay.operate, node.call_back = self.handover.relay.operate, takeover.call_back
         takeover.go_on()
 
+    def size(self) -> None:
+        """What is shared among dispatchers is shared by as many as may be acting."""
+        assert self.member is not None, "asked for only where it is on"
+        self.sizing = self.loop.call_later(SIZE_S, self.size)
+        most = self.member.bounds(self.loop.time()).most
+        self.node.resize(most)
+        self.watch.asks.resize(most)
+
+    def hand_membership(self) -> dict[str, Any]:
+        """The process that goes on is the same member, in a higher incarnation: nobody hears of a leave."""
+        if self.member is None:
+            return {}
+        if self.sizing is not None:
+            self.sizing.cancel()
+        self.member.stop(leave=False)
+        return {"incarnation": self.member.detector.table.own.incarnation}
+
     async def end(self) -> None:
         """After SIGTERM: hand over, where a successor is ready, or leave."""
         leave_at = self.loop.time() + LEAVE_S
@@ -241,6 +270,10 @@
     def close(self) -> None:
         if self.reloading is not None:
             self.reloading.cancel()
+        if self.sizing is not None:
+            self.sizing.cancel()
+        if self.member is not None:
+            self.member.stop()
         self.handover.stop()
         self.platform.stop()
         if self.planners is not None:
@@ -260,6 +293,17 @@
     return PlannerClient(name, dict(own.planners), own.secret, node.limits.collect, node.limits.guided)
 
 
+def make_member(configuration: Configuration, told: Mapping[str, Any] | None) -> Member | None:
+    """This dispatcher among the others; after an upgrade, as the member that the process before it was."""
+    if (set_up := configuration.own.membership) is None:
+        return None
+    from rushhitch.membership.server import Server  # with its library: only where it is on
+
+    named = replace(set_up, name=set_up.name or configuration.name)
+    fleet = set_up.fleet or configuration.settings.dispatchers
+    return Server(named, fleet, int((told or {}).get("incarnation", 0)))
+
+
 def codecs(own: Own) -> dict[int, Codec]:
     """What destinations speak that do not speak the platform's protocol."""
     if own.events is None or not own.events.partners:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -15,6 +15,7 @@
     "rushhitch.partners",
     "rushhitch.cloudevents",
     "rushhitch.taker",
+    "rushhitch.membership",
     "rushhitch.planning",
     "rushhitch.process",
     "rushhitch.config",
