Lab: a new configuration is told to the process that serves, not to one that is starting

Cause: beside a load of 16 loops six of eight plays of the upgrade's faults ended with a crash of d0: SIGHUP went to the second process 0.7 s after its start, before it listens to signals, and ended it. At fault: lab/processes.py send.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -38,6 +38,7 @@
         self.words: tuple[str, ...] = ()  # of its command line
         self.profile: Path | None = None  # where it tells, at its end, where its CPU time went
         self.crashed = False
+        self.serving: asyncio.subprocess.Process | None = None  # the newest that was ready
         self.wanted = False
         self.known: Callable[[str], dict[str, Any]] = lambda name: {"version": 0, "servers": []}
         self.serves: Callable[..., None] = lambda name, port, event_port=0: None
@@ -125,6 +126,7 @@
                 self.control = int(line.rpartition(b":")[2])
             if b" is ready on " in line:
                 self.port = int(line.split(b" is ready on ")[1].split(b",")[0].rpartition(b":")[2])
+                self.serving = process
                 self.ready.set()
         code = await process.wait()
         if process is self.process:
@@ -170,8 +172,10 @@
         self.send(signal.SIGHUP)
 
     def send(self, number: int) -> None:
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+        """To the one that serves: one that is starting beside it may not listen to signals yet."""
+        process = self.serving or self.process
+        if process is not None and process.returncode is None:
+            process.send_signal(number)
 
     def rss_mb(self) -> float:
         """Resident memory, in megabytes."""
