--- a/rushhitch/membership/server.py
+++ b/rushhitch/membership/server.py
@@ -258,6 +258,7 @@
             "most": bounds.most,
             "leased": bounds.leased,
             "digest": f"{detector.table.digest:016x}",
+            "sent_bytes": self.sent_bytes,
             "sent_per_s": round(self.sent / lasted, 2),
             "sent_bytes_per_s": round(self.sent_bytes / lasted, 1),
             "received_per_s": round(self.came / lasted, 2),
