--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -124,7 +124,7 @@
             memory[member] = rss(fleet)
             if not member:
                 continue
-            fleet.tasks.append(asyncio.get_running_loop().create_task(fleet.watch()))
+            fleet.tasks.append(asyncio.get_running_loop().create_task(fleet.watch.run()))
             await fleet.until(fleet.all_there, 20.0)
             await asyncio.sleep(max(14.0 - fleet.now, 0.0))  # past the joining
             before, begun = sum(report["sent_bytes"] for report in fleet.reports.values()), fleet.now
--- a/lab/run.py
+++ b/lab/run.py
@@ -21,6 +21,11 @@
 from lab.clients import Ask, Clients
 from lab.directory import Directory
 from lab.history import History, without_guests
+from lab.member_ways import FINE, SECRET, Watch, WayFault, Ways
+from lab.membership import History as MemberHistory
+from lab.membership_rules import T3_S
+from lab.membership_rules import Broken as MemberBroken
+from lab.membership_rules import check as check_members
 from lab.partners import Lane, Partners, Spec
 from lab.processes import Dispatcher, PlannerProcess
 from lab.rules import Broken, check
@@ -51,6 +56,8 @@
         default_factory=dict
     )  # by lane: calls a second, window in ms
     ways: dict[str, int] = field(default_factory=dict)  # frames by what befell them between the processes
+    members: MemberHistory | None = None  # what the dispatchers held of each other, where they are members
+    member_broken: list[MemberBroken] = field(default_factory=list)
 
     @property
     def total(self) -> report.Line:
@@ -61,7 +68,7 @@
 
     @property
     def sound(self) -> bool:
-        return not self.broken and not self.crashed
+        return not (self.broken or self.crashed or self.member_broken)
 
 
 class Run:
@@ -90,8 +97,12 @@
         self.planners: dict[str, PlannerProcess] = {}
         self.planner_addresses: dict[str, tuple[str, int]] = {}
         self.ways: dict[tuple[str, str], Way] = {}  # by dispatcher and planner, where a fault is to hit one
+        self.member_ways = Ways(scenario.seed)
+        self.members = Watch(self.member_ways, lambda: self.history.now() / 1000.0)
+        self.struck_ways: list[tuple[str, WayFault]] = []  # faults that are on, and where
         self.disk_most: dict[str, int] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.watching: asyncio.Task[None] | None = None
 
     def address(self, endpoint: str, dispatcher: str) -> str:
         return f"127.0.0.1:{self.partners.endpoints[endpoint].port(dispatcher)}"
@@ -111,6 +122,9 @@
         for name in self.planner_addresses:
             self.planners[name] = PlannerProcess(name, self.folder / name, toml)
             await self.planners[name].start()
+        if self.scenario.members:
+            for name in self.names:
+                await self.member_ways.add(name)
         for index, name in enumerate(self.names):
             config = {
                 "name": name,
@@ -127,7 +141,7 @@
                 "settings": self.scenario.settings(index),
             }
             hit = any(fault.what == "way" for fault in self.scenario.faults)
-            own = await self.own_ways(name) if hit else toml
+            own = await self.own_ways(name) if hit or self.scenario.members else toml
             dispatcher = Dispatcher(name, self.folder / name, config, self.history, own)
             dispatcher.serves = self.serves
             dispatcher.known = self.directory.known
@@ -141,6 +155,11 @@
 
     def serves(self, name: str, port: int | None, event_port: int = 0) -> None:
         """A dispatcher is up, or (None) it is not."""
+        if self.scenario.members:
+            if port is not None:
+                self.members.began(name)
+            elif name in self.members.lives:
+                self.members.ended(name, killed=True)
         self.clients.serves(name, port, event_port)
         self.partners.bank.serves(name, event_port if port is not None else 0)
 
@@ -150,16 +169,30 @@
             self.planner_addresses[f"p{number}"] = free_address()
 
     async def own_ways(self, dispatcher: str) -> Path:
-        """The settings of a dispatcher that reaches each planner by a way that faults can hit."""
+        """The settings of a dispatcher that reaches each planner, and each other member, by a way that faults
+        can hit."""
         addresses = {}
+        hit = any(fault.what == "way" for fault in self.scenario.faults)
         for planner, address in self.planner_addresses.items():
+            if not hit:
+                addresses[planner] = address
+                continue
             seed = f"{self.scenario.seed} {dispatcher} {planner}"
             way = self.ways[dispatcher, planner] = Way(address, seed)
             addresses[planner] = ("127.0.0.1", await way.start())
         path = self.folder / f"{dispatcher}.toml"
-        path.write_text(self.toml(addresses))
+        member = ""
+        if self.scenario.members:
+            secret = self.folder / "members.secret"
+            secret.write_bytes(SECRET)
+            words = (str(secret), len(self.names), self.building(dispatcher))
+            member = self.member_ways.toml(dispatcher, *words)
+        path.write_text(self.toml(addresses) + member)
         return path
 
+    def building(self, dispatcher: str) -> str:
+        return "ab"[self.names.index(dispatcher) % self.scenario.buildings]
+
     def toml(self, addresses: dict[str, tuple[str, int]]) -> str:
         """A process's own settings; with planners there, if any."""
         journal = f'[journal]\nsync = "{self.scenario.sync}"\n'
@@ -196,6 +229,8 @@
                 for cls, per_s in rates.items():
                     if per_s > 0:
                         self.spawn(self.load(self.specs[partner], cls, per_s))
+            if self.scenario.members:
+                self.watching = asyncio.get_running_loop().create_task(self.members.run())
             for fault in self.scenario.faults:
                 self.spawn(self.fault(fault))
             end = began + self.scenario.seconds * 1000.0
@@ -204,6 +239,10 @@
                 self.sweep()
                 self.tell(began)
             self.over = True
+            if self.scenario.members:
+                while self.tasks:
+                    await asyncio.sleep(SWEEP_S)
+                await self.members.quiet(T3_S + 1.0)
             longest = max(cls.deadline_ms for cls in self.settings.classes)
             tries = self.scenario.retries + 1  # what is refused at the end of its time may come once more
             quiet = self.history.now() + tries * (longest + SETTLE_S * 1000.0)
@@ -213,6 +252,8 @@
                 self.tell(began)
             return await self.end()
         finally:
+            if self.watching is not None:
+                self.watching.cancel()
             for task in self.tasks:
                 task.cancel()
             for dispatcher in self.dispatchers.values():
@@ -223,6 +264,7 @@
                 planner.log.close()
             for way in self.ways.values():
                 way.stop()
+            self.member_ways.stop()
             self.clients.stop()
             self.partners.stop()
             self.directory.stop()
@@ -256,6 +298,7 @@
         cpu = {name: dispatcher.cpu_s() for name, dispatcher in self.dispatchers.items()}
         crashed = [name for name, dispatcher in self.dispatchers.items() if dispatcher.crashed]
         self.history.add("over")
+        held = self.members.close() if self.scenario.members else None
         events = list(self.history.events)
         if self.scenario.guests:
             events = without_guests(events)
@@ -284,6 +327,8 @@
                 what: sum(getattr(way, what) for way in self.ways.values())
                 for what in ("passed", "repeated", "reordered", "refused", "carried")
             },
+            members=held,
+            member_broken=check_members(held, len(self.names)) if held is not None else [],
         )
 
     def tell(self, began: float) -> None:
@@ -420,6 +465,8 @@
         dispatcher.reload()
 
     def begin_pause(self, fault: Fault) -> None:
+        if self.scenario.members:
+            self.members.stands_still(fault.on, fault.seconds)
         self.dispatchers[fault.on].send(signal.SIGSTOP)
 
     def end_pause(self, fault: Fault) -> None:
@@ -437,6 +484,28 @@
     def end_planner_pause(self, fault: Fault) -> None:
         self.planners[fault.on].send(signal.SIGCONT)
 
+    def member_fault(self, sender: str, receiver: str) -> WayFault:
+        """What hits that way just now: the newest of the faults on it."""
+
+        def fits(end: str, name: str) -> bool:
+            return end in ("*", name, self.building(name))
+
+        for on, fault in reversed(self.struck_ways):
+            begin, _, end = on.partition("-")
+            if not on or (end and fits(begin, sender) and fits(end, receiver)):
+                return fault
+            if not end and begin in (sender, receiver):
+                return fault
+        return FINE
+
+    def begin_member_way(self, fault: Fault) -> None:
+        self.struck_ways.append((fault.on, WayFault(**fault.faults)))
+        self.members.strike(self.member_fault)
+
+    def end_member_way(self, fault: Fault) -> None:
+        self.struck_ways.remove((fault.on, WayFault(**fault.faults)))
+        self.members.strike(self.member_fault)
+
     def struck(self, fault: Fault) -> list[Way]:
         return [
             way
@@ -523,7 +592,9 @@
         )
     for name in played.crashed:
         print(f"CRASHED: {name}")
-    for broken in played.broken:
+    if played.members is not None:
+        print(f"\nmembers: {len(played.members.held)} changes of what they hold of each other")
+    for broken in (*played.broken, *played.member_broken):
         print(f"BROKEN: {broken}")
     if played.sound:
         print("rules kept, no crash")
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -33,6 +33,7 @@
 from pathlib import Path
 from typing import Any
 
+from lab.member_ways import WayFault
 from lab.partners import Faults, Spec
 from lab.ways import WayFaults
 
@@ -57,6 +58,8 @@
     "planner_pause": "SIGSTOP to a planner, and SIGCONT after `seconds`",
     "way": "the way of a forwarder, of a planner or of a pair (d0, p1, d0-p1; all, if none is named), with"
     " the fields of `lab.ways.WayFaults`",
+    "member_way": "the ways between members: of one (d0), from it (d0-*), to it (*-d0), from one to another"
+    " (d0-d1), between buildings (a-b); all, if none is named, with the fields of `lab.member_ways.WayFault`",
     "burst": "the load on a partner is `factor` times the usual",
 }
 
@@ -103,6 +106,8 @@
     seconds: float = 10.0
     dispatchers: int = 1
     planners: int = 0  # with some, the dispatchers are forwarders
+    members: bool = False  # the dispatchers know of each other
+    buildings: int = 1  # that they stand in, by turns
     zones: tuple[str, ...] = ("a",)
     classes: list[ClassSpec] = field(default_factory=list)
     partners: list[Spec] = field(default_factory=list)
@@ -166,11 +171,17 @@
         wanted |= dict.fromkeys(("planner_kill", "planner_pause"), planners)
         pairs = {f"{dispatcher}-{planner}" for dispatcher in dispatchers for planner in planners}
         wanted["way"] = pairs | planners | dispatchers | {""} if planners else set()
+        if self.members:
+            several = {"*", "a", "b"} if self.buildings > 1 else {"*"}
+            ends = sorted(dispatchers | several)
+            wanted["member_way"] = {f"{x}-{y}" for x in ends for y in ends} | dispatchers | {""}
         for fault in self.faults:
             if fault.what not in WHATS:
                 raise BadScenario(
                     f"fault at {fault.at}: what = {fault.what!r}: use one of {', '.join(WHATS)}"
                 )
+            if fault.what == "member_way" and not self.members:
+                raise BadScenario(f"fault at {fault.at}: member_way needs members = true in the scenario")
             known = wanted.get(fault.what)
             if known is not None and fault.on not in known:
                 raise BadScenario(
@@ -270,7 +281,7 @@
         }
         place = f"{name}: fault at {own.get('at')}"
         try:
-            kind = WayFaults if own.get("what") == "way" else Faults
+            kind = {"way": WayFaults, "member_way": WayFault}.get(own.get("what", ""), Faults)
             faults.append(Fault(**own, faults=fields_of(kind, row, place)))
         except TypeError as error:
             raise BadScenario(f"{place}: {error}") from None
--- a/rushhitch/planning/server.py
+++ b/rushhitch/planning/server.py
@@ -6,11 +6,16 @@
 import json
 import logging
 import signal
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
 
 from rushhitch.config.own import Own
 from rushhitch.planning.planner import ALIVE_MS, Planner
 from rushhitch.planning.wire import Kind, Link, Role, WireError, decode_report, encode_grants, frame
 
+if TYPE_CHECKING:
+    from rushhitch.membership.server import Server as Member
+
 log = logging.getLogger(__name__)
 
 SHAKE_S = 2.0  # a connection that has not proved itself by then is closed
@@ -78,6 +83,7 @@
         self.planner, self.secret = planner, secret
         self.connections: set[Connection] = set()
         self.server: asyncio.Server | None = None
+        self.member: Member | None = None  # where the planner is a member too
 
     async def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         loop = asyncio.get_running_loop()
@@ -99,7 +105,7 @@
         for connection in list(self.connections):
             connection.transport.abort()
 
-    def view(self) -> dict:
+    def view(self) -> dict[str, Any]:
         """For people: lane, learned limit and its kind, shares by forwarder, age of reports, term."""
         now = asyncio.get_running_loop().time() * 1000.0
         lanes = []
@@ -131,8 +137,10 @@
                 }
             )
         alive = [name for name, at in self.planner.forwarders.items() if now - at < ALIVE_MS]
-        up = sorted(self.planner.up)
-        return {"planner": self.planner.name, "up": up, "forwarders": sorted(alive), "lanes": lanes}
+        told = {"planner": self.planner.name, "up": sorted(self.planner.up), "forwarders": sorted(alive)}
+        if self.member is not None:
+            told["members"] = self.member.report()["members"]
+        return told | {"lanes": lanes}
 
 
 async def serve(own: Own, name: str) -> None:
@@ -143,8 +151,16 @@
         loop.add_signal_handler(number, stop.set)
     planner = Planner(name, list(own.planners), own.cold_from, own.warm_ms, own.fall_multiple)
     server = PlannerServer(planner, own.secret)
+    if own.membership is not None:
+        from rushhitch.membership.server import Server as Member  # with its library: only where it is on
+
+        named = replace(own.membership, name=own.membership.name or name)
+        server.member = Member(named, own.membership.fleet or 1)
+        server.member.start()
     address = await server.listen(own.planners[name])
     log.info("planner %s is ready on %s:%d", planner.name, *address)
     await stop.wait()
+    if server.member is not None:
+        server.member.stop()
     server.close()
     log.info("planner %s ends", planner.name)
--- a/rushhitch/planning/show.py
+++ b/rushhitch/planning/show.py
@@ -52,6 +52,9 @@
         "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip() for row in rows
     ]
     head = f"planner {view['planner']}; up: {', '.join(view['up'])}; {len(view['forwarders'])} forwarders"
+    if "members" in view:
+        held = ", ".join(f"{row['name']} {row['state']}" for row in view["members"])
+        head = f"{head}\nmembers: {held}"
     return "\n".join([head, *lines])
 
 
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -11,8 +11,12 @@
 import pytest
 from doubles import ROOT, TOLD
 
-from lab.fleet import FINE, Fault, MemberFleet
+from lab.addresses import free_address
+from lab.fleet import MemberFleet
+from lab.member_ways import FINE, WayFault
 from lab.membership_rules import check, t2_s
+from lab.run import play
+from lab.scenario import BadScenario, parse
 
 PATIENCE_S = 50.0
 
@@ -78,7 +82,7 @@
     @with_fleet(tmp_path)
     async def _(fleet):
         cut = {("d1", "d2"), ("d2", "d1")} if both else {("d1", "d2")}
-        fleet.ways.fault = lambda a, b: Fault(cut=True) if (a, b) in cut else FINE
+        fleet.watch.strike(lambda a, b: WayFault(cut=True) if (a, b) in cut else FINE)
 
         def told(by, of):
             return any(r["name"] == of and r["one_way"] for r in fleet.reports[by]["members"])
@@ -86,19 +90,18 @@
         await fleet.until(lambda: told("d1", "d2") and told("d2", "d1"), 15.0)
         await asyncio.sleep(2.0)
         assert not [h for h in fleet.history.held if h.state == 2]
-        fleet.ways.fault = lambda a, b: FINE
+        fleet.watch.strike(lambda a, b: FINE)
         await fleet.until(lambda: not told("d1", "d2") and not told("d2", "d1"))
 
 
 def test_one_that_hears_nobody_counts_itself_alone_and_all_are_one_again_after(tmp_path):
     @with_fleet(tmp_path)
     async def _(fleet):
-        fleet.ways.fault = lambda a, b: Fault(cut=True) if b == "d2" else FINE
-        fleet.history.out_of_reach.append(("d2", fleet.now, fleet.now + 30.0))
+        fleet.watch.strike(lambda a, b: WayFault(cut=True) if b == "d2" else FINE)
         await fleet.until(lambda: fleet.reports["d2"]["alone"] and all_hold(fleet, "d2", "gone"), 15.0)
         told = fleet.reports["d2"]
         assert told["least"] == 1 and told["most"] == 5 and told["counts"]["burials"] == 0
-        fleet.ways.fault = lambda a, b: FINE
+        fleet.watch.strike(lambda a, b: FINE)
         assert await fleet.until(fleet.all_there, 20.0) < 15.0
 
 
@@ -106,27 +109,25 @@
     @with_fleet(tmp_path, size=6, buildings=2)
     async def _(fleet):
         apart = fleet.building
-        fleet.ways.fault = lambda a, b: Fault(cut=True) if apart[a] != apart[b] else FINE
-        for name in fleet.names:
-            fleet.history.out_of_reach.append((name, fleet.now, fleet.now + 40.0))
+        fleet.watch.strike(lambda a, b: WayFault(cut=True) if apart[a] != apart[b] else FINE)
         await fleet.kill("d0")
         others = [name for name in fleet.names if apart[name] == "a"]
         await fleet.until(lambda: all(fleet.states("d1")[name] == "gone" for name in others), 15.0)
         assert all(fleet.reports[by]["most"] == 6 for by in fleet.up()), "no half may take the other for gone"
         await fleet.start("d0")
         await fleet.until(lambda: fleet.states("d2").get("d0") == "alive")
-        fleet.ways.fault = lambda a, b: FINE
+        fleet.watch.strike(lambda a, b: FINE)
         assert await fleet.until(fleet.all_there, 20.0) < 15.0
 
 
 def test_with_a_third_lost_and_all_late_and_out_of_order_a_kill_is_found_and_the_rest_stay(tmp_path):
     @with_fleet(tmp_path)
     async def _(fleet):
-        fleet.ways.fault = lambda a, b: Fault(loss=0.3, late_s=0.3, reorder=0.3, repeat=0.1)
+        fleet.watch.strike(lambda a, b: WayFault(loss=0.3, late_ms=300.0, reorder=0.3, repeat=0.1))
         await asyncio.sleep(4.0)
         await fleet.kill("d4")
         await fleet.until(lambda: all_hold(fleet, "d4", "gone"), 25.0)
-        fleet.ways.fault = lambda a, b: FINE
+        fleet.watch.strike(lambda a, b: FINE)
         await fleet.until(fleet.all_there, 15.0)
 
 
@@ -173,7 +174,7 @@
     async def _(fleet):
         fleet.names.append("x")
         fleet.building["x"], fleet.logs["x"], fleet.claims["x"] = "a", [], "d0"
-        await fleet.place("x")
+        await fleet.ways.add("x")
         await fleet.start("x")
 
         def both():
@@ -204,7 +205,8 @@
 
         await fleet.leave("d2")
         first = await with_control("d2")
-        fleet.processes["d2"], fleet.lives["d2"].end = first, float("inf")
+        fleet.processes["d2"] = first
+        fleet.watch.began("d2")
         while b" is ready on " not in await first.stderr.readline():
             pass
         await fleet.until(fleet.all_there)
@@ -246,7 +248,7 @@
             return subprocess.run(command, cwd=ROOT, env=env, capture_output=True, text=True, timeout=20)
 
         await fleet.until(lambda: fleet.reports["d0"]["least"] == 3)  # it has heard from both itself
-        address = "{}:{}".format(*fleet.addresses["d0"][0])
+        address = "{}:{}".format(*fleet.ways.addresses["d0"][0])
         told = await asyncio.to_thread(members, address)
         assert told.returncode == 0, told.stderr
         assert "d0: 3 to 3 may be acting" in told.stdout and told.stdout.count("alive") == 3
@@ -295,3 +297,139 @@
         assert not [h for h in fleet.history.held if h.state == 2]
 
 
+
+
+UNDER_LOAD = """
+seconds = 8.0
+dispatchers = 4
+members = true
+buildings = 2
+[[class]]
+name = "note"
+effect = "repeatable"
+aim_ms = 1000.0
+deadline_ms = 3000.0
+[[class]]
+name = "pay"
+effect = "once"
+aim_ms = 1000.0
+deadline_ms = 4000.0
+[[partner]]
+name = "bank"
+dest = 1
+endpoints = 2
+load = { note = 30.0, pay = 20.0 }
+"""
+FAULTS = {
+    "a pause and a kill": """
+[[fault]]
+at = 1.0
+what = "pause"
+on = "d1"
+seconds = 3.0
+[[fault]]
+at = 1.5
+what = "kill"
+on = "d2"
+seconds = 3.0
+""",
+    "buildings apart, with a kill in one and losses": """
+[[fault]]
+at = 0.5
+what = "member_way"
+loss = 0.1
+late_ms = 20.0
+repeat = 0.1
+reorder = 0.1
+seconds = 7.0
+[[fault]]
+at = 1.0
+what = "member_way"
+on = "a-b"
+cut = true
+seconds = 5.0
+[[fault]]
+at = 1.0
+what = "member_way"
+on = "b-a"
+cut = true
+seconds = 5.0
+[[fault]]
+at = 2.0
+what = "kill"
+on = "d3"
+seconds = 0.5
+""",
+    "an upgrade while its peers cannot be reached": """
+[[fault]]
+at = 1.0
+what = "member_way"
+on = "d0"
+cut = true
+seconds = 6.0
+[[fault]]
+at = 2.0
+what = "upgrade"
+on = "d0"
+""",
+    "one that hears nobody, and one that nobody hears": """
+[[fault]]
+at = 0.5
+what = "member_way"
+on = "*-d0"
+cut = true
+seconds = 5.0
+[[fault]]
+at = 1.5
+what = "member_way"
+on = "d3-*"
+cut = true
+seconds = 5.0
+""",
+}
+
+
+@pytest.mark.parametrize("what", FAULTS)
+def test_under_load_the_rules_and_the_properties_are_kept(tmp_path, what):
+    played = play(parse(UNDER_LOAD + FAULTS[what], what), folder=tmp_path)
+    broken = [*played.crashed, *played.broken, *played.member_broken]
+    assert played.sound, "\n".join(map(str, broken))
+    total, held = played.total, played.members
+    assert total.open == 0 and total.in_time > 0.5 * total.asked > 100
+    assert held.equal_at is not None and len(held.held) >= 16
+    if what != "an upgrade while its peers cannot be reached":
+        assert any(h.state == 2 for h in held.held), "nobody was held gone: the faults did not strike"
+
+
+def test_a_fault_between_members_needs_members(tmp_path):
+    fault = '[[fault]]\nat = 1.0\nwhat = "member_way"\non = "d0-d9"\ncut = true\n'
+    with pytest.raises(BadScenario, match="use one of .*d0-d1"):
+        parse(UNDER_LOAD + fault)
+    with pytest.raises(BadScenario, match="member_way needs members = true"):
+        parse(UNDER_LOAD.replace("members = true\n", "") + fault)
+
+
+def test_a_planner_that_is_a_member_shows_who_is_there(tmp_path):
+    @with_fleet(tmp_path, size=2)
+    async def _(fleet):
+        await fleet.ways.add("p1")
+        host, port = free_address()
+        text = fleet.ways.toml("p1", str(tmp_path / "secret"), 3)
+        text += f'[planning]\nplanners = {{ p1 = "{host}:{port}" }}\nsecret_file = "{tmp_path / "secret"}"\n'
+        (tmp_path / "p1.toml").write_text(text)
+        env = dict(os.environ) | {"RUSHHITCH_TOML": str(tmp_path / "p1.toml")}
+        command = (sys.executable, "-m", "rushhitch", "plan", "p1")
+        planner = await asyncio.create_subprocess_exec(
+            *command, cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
+        )
+        try:
+            while b" is ready on " not in (line := await planner.stderr.readline()):
+                assert line
+            await fleet.until(lambda: fleet.states("d0").get("p1") == fleet.states("d1").get("p1") == "alive")
+            told = await asyncio.to_thread(
+                subprocess.run, [*command, "--show"], cwd=ROOT, env=env, capture_output=True, text=True
+            )
+            assert "members: d0 alive, d1 alive, p1 alive" in told.stdout, told.stderr
+        finally:
+            planner.kill()
+            await planner.wait()
