--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -176,6 +176,15 @@
         assert dispatchers > 3 or first < 0.3
 
 
+def test_with_more_dispatchers_each_asks_more_rarely_and_with_fewer_sooner():
+    rests = []
+    for dispatchers in (40, 2):
+        asks = Asks(random.Random(1), 40)
+        asks.resize(dispatchers)
+        rests.append(asks.rest())
+    assert rests[1] < 0.5 < rests[0]
+
+
 def test_a_watch_that_moves_asks_at_once_however_many_there_are():
     asks = Asks(random.Random(1), 40)
     assert asks.first() > 0.0 and asks.first() == 0.0
--- a/tests/test_membership_wire.py
+++ b/tests/test_membership_wire.py
@@ -1,8 +1,11 @@
 """Members' datagrams and streams: what is forged, replayed, cut off or of another build changes nothing."""
 
 import struct
+import subprocess
+import sys
 
 import pytest
+from doubles import ROOT
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -212,6 +215,13 @@
         fresh.receive(replayed)
 
 
+def test_without_the_section_nothing_of_it_is_imported():
+    found = "[name for name in sys.modules if 'membership' in name or name == 'msgspec']"
+    code = f"import sys, rushhitch.service; print({found})"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=30)
+    assert done.stdout.strip() == "[]", done.stdout + done.stderr
+
+
 # Settings
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -368,3 +368,16 @@
         while "e1" not in bench.journal.cold:
             (await bench.partner.next()).answer(500)
         assert bench.journal.cold["e1"] > 1.0  # calls a second: ten within much less than ten seconds
+
+
+def test_another_number_of_dispatchers_is_told_to_all_who_divide_by_it(tmp_path):
+    @with_bench(tmp_path)
+    async def _(bench):
+        node, told = bench.node, []
+        node.note = told.append
+        node.resize(node.settings.dispatchers)
+        assert told == [], "nothing has changed"
+        node.resize(7)
+        assert node.settings.dispatchers == node.limits.dispatchers == 7
+        assert [type(event).__name__ for event in told] == ["Reconfigured"]
+        assert told[0].settings.dispatchers == 7 and told[0].settings.classes == node.settings.classes
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+from datetime import datetime
 
 import pytest
 from doubles import ROOT, Peer, Program, run
@@ -33,6 +34,11 @@
     return decorate
 
 
+def logged_at(line):
+    """The process's own time of a line of its log, in seconds."""
+    return datetime.strptime(line[:23], "%Y-%m-%d %H:%M:%S,%f").timestamp()
+
+
 def test_a_message_is_delivered_with_its_id_and_body_unchanged(tmp_path):
     @with_program(tmp_path)
     async def _(program):
@@ -189,13 +195,12 @@
     async def _(program):
         client = await program.client()
         program.process.send_signal(signal.SIGTERM)
-        await program.log_line("is leaving")
-        since = asyncio.get_running_loop().time()
+        since = logged_at(await program.log_line("is leaving"))
         await client.add(b"m1", "pay", 24000)
         request = await program.partner.next()
         request.answer(429, X_Come_Back_Ms="2500")  # after that it could not end in time
+        assert logged_at(await program.log_line(" ends, 1 messages stay")) - since < 3.5
         assert await program.process.wait() == 0
-        assert asyncio.get_running_loop().time() - since < 3.5
         assert program.partner.requests.empty()
         await program.start()
         again = await program.partner.next()
