--- a/rushhitch/membership/detector.py
+++ b/rushhitch/membership/detector.py
@@ -12,7 +12,7 @@
 import random
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from rushhitch.membership.bounds import Lease, bounds, in_touch, window_s
 from rushhitch.membership.messages import (
@@ -148,7 +148,6 @@
 
     trip_s: float = 0.0
     failing: int = 0
-    heard_at: float = field(default=float("-inf"))
 
 
 class Detector:
@@ -219,8 +218,6 @@
         """A message that its sender has proved to be from the fleet."""
         self.wake(now)
         me, own = message.me, self.table.own
-        if me.name != own.name and (way := self.ways.setdefault(me.name, Way())):
-            way.heard_at = now
         if own.state == State.LEFT:
             return self.taken()
         if me.name == own.name and me.process != own.process and not self.table.displaced:
