--- a/rushhitch/membership/detector.py
+++ b/rushhitch/membership/detector.py
@@ -407,7 +407,7 @@
             probe.relays = len(chosen) or -1
             target = self.table.records[probe.target].row
             for record in chosen:
-                self.send(record.row, Ask(self.table.own, seq, self.table.digest, target))
+                self.send(record.row, Ask(self.table.own, seq, self.table.digest, target=target))
         if now >= probe.ends_at:
             probe.over = True
             self.failed(now, probe)
@@ -448,7 +448,7 @@
     def relay(self, probe: Probe, answered: bool) -> None:
         assert probe.asked_by is not None
         who, number = probe.asked_by
-        self.reply(who, Relayed(self.table.own, number, self.table.digest, answered))
+        self.reply(who, Relayed(self.table.own, number, self.table.digest, answered=answered))
 
     def relayed(self, now: float, seq: int, answered: bool) -> None:
         probe = self.probes.get(seq)
--- a/rushhitch/membership/messages.py
+++ b/rushhitch/membership/messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from rushhitch.membership.view import State
@@ -54,8 +54,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ping:
-    """Asks for an answer."""
+class Said:
+    """What each message has: its sender's row, a number, the digest of what its sender holds, and news."""
 
     me: Row
     seq: int
@@ -65,38 +65,27 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ack:
-    """Answers a ping."""
+class Ping(Said):
+    """Asks for an answer."""
 
-    me: Row
-    seq: int
-    digest: int
-    news: tuple[Row, ...] = ()
-    vouches: tuple[Vouch, ...] = ()
+
+@dataclass(frozen=True, slots=True)
+class Ack(Said):
+    """Answers a ping; `seq` is the ping's."""
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class Ask(Said):
     """Asks another to ping `target`."""
 
-    me: Row
-    seq: int
-    digest: int
-    target: Row
-    news: tuple[Row, ...] = ()
-    vouches: tuple[Vouch, ...] = ()
+    target: Row = field(kw_only=True)
 
 
 @dataclass(frozen=True, slots=True)
-class Relayed:
-    """How that went: it has answered, or not within the time of a ping."""
+class Relayed(Said):
+    """How that went: it has answered, or not within the time of a ping; `seq` is the question's."""
 
-    me: Row
-    seq: int
-    digest: int
-    answered: bool
-    news: tuple[Row, ...] = ()
-    vouches: tuple[Vouch, ...] = ()
+    answered: bool = field(kw_only=True)
 
 
 Message = Ping | Ack | Ask | Relayed
--- a/rushhitch/membership/wire.py
+++ b/rushhitch/membership/wire.py
@@ -152,9 +152,9 @@
     if kind is Ask:
         if told.target is None:
             raise WireError("a question on behalf of another names nobody")
-        return Ask(*head, row_of(told.target), news, vouches)
+        return Ask(*head, news, vouches, target=row_of(told.target))
     if kind is Relayed:
-        return Relayed(*head, told.answered, news, vouches)
+        return Relayed(*head, news, vouches, answered=told.answered)
     return kind(*head, news, vouches)
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -60,7 +60,7 @@
                 back = Ack(who, message.seq, digest)
             elif isinstance(message, Ask) and who.name not in self.dead:
                 self.asked.append(message.target.name)
-                back = Relayed(who, message.seq, digest, message.target.name not in self.dead)
+                back = Relayed(who, message.seq, digest, answered=message.target.name not in self.dead)
             else:
                 continue
             self.pass_on(self.detector.receive(self.now + 0.001, back))
--- a/tests/test_membership_wire.py
+++ b/tests/test_membership_wire.py
@@ -37,9 +37,9 @@
 MESSAGES = [
     Ping(ROW, 1, 2**63),
     Ack(ROW, 2, 0, (OTHER,), (Vouch("b", 9, "a", 4),)),
-    Ask(ROW, 3, 5, OTHER, (ROW, OTHER)),
-    Relayed(ROW, 4, 5, True, (OTHER,)),
-    Relayed(ROW, 4, 5, False),
+    Ask(ROW, 3, 5, (ROW, OTHER), target=OTHER),
+    Relayed(ROW, 4, 5, (OTHER,), answered=True),
+    Relayed(ROW, 4, 5, answered=False),
 ]
 
 
