A probe whose relays all keep silent is no news of its member; a second ping before relays

Cause: a burst in which all datagrams are lost buried members once it was over. Suspicions were made while nobody was heard, and fell due with witnesses from the same burst.

Change (detector.py, follow, failed, relays_for): a probe that failed counts only if a relay spoke, or none could be asked; relays are chosen from those who answered last; doubt rises only where nobody answered meanwhile; one who was alone counts others from when it is not (woke_at).

The incarnation is kept in the state folder (kept.py); streams that say nothing give way to new ones (server.py).

--- a/lab/membership_baselines.py
+++ b/lab/membership_baselines.py
@@ -62,7 +62,7 @@
         self.ticked_at = now
         self.ill = 0
 
-    def alone(self, now: float) -> bool:
+    def alone(self, now: float, longer_s: float = 0.0) -> bool:
         return False
 
     def lasts(self, record: Record) -> float:
--- a/rushhitch/membership/detector.py
+++ b/rushhitch/membership/detector.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
-from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from rushhitch.membership.bounds import Lease, bounds, in_touch, window_s
@@ -28,12 +28,14 @@
     Vouch,
     Warn,
 )
+from rushhitch.membership.rumours import Damping, Rumours
 from rushhitch.membership.table import Merged, Record, Table
 from rushhitch.membership.view import Bounds, Seen, State
 
 MOST_ILL = 8  # of one's own doubt: Lifeguard's local health multiplier
 LATE_S = 3.0  # an answer that comes so late still tells that its member lived when it was asked
 RELAYS = 3  # others asked to ping who did not answer
+LATELY = 8  # they are chosen from so many
 WITNESSES = 2  # beside the one who suspects, where as many can be asked
 LOOKERS = 8.0  # of all who hear of a suspicion, about so many look for themselves
 RUMOURS = 1.5  # a row goes out so often, times the logarithm of the members
@@ -49,8 +51,6 @@
 DISPLACED_S = 5.0  # between two questions whether a newer process of our name is still there
 EXCHANGE_S = 2.0  # between two exchanges, and the more the more members there are
 DIFFERS = 3  # probes in a row whose digest differs, before rows are exchanged
-DAMP_S = 2.0  # a change is told to users once it has held so long
-DAMP_MOST_S = 30.0  # a member that flaps is told of so seldom
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,61 +73,16 @@
 
     target: str
     sent_at: float
+    again_at: float  # a second ping, where the first or its answer was lost
     relays_at: float
     ends_at: float
+    asked_again: bool = False
     relays: int = 0
     answers: int = 0  # of relays, either way
     over: bool = False  # judged: a late answer still tells something
     asked_by: tuple[Row, int] | None = None
 
 
-class Rumours:
-    """What is to be passed on, that first which went out least."""
-
-    def __init__(self) -> None:
-        self.levels: list[OrderedDict[tuple[str, str], Row | Vouch]] = [OrderedDict()]
-        self.times: dict[tuple[str, str], int] = {}
-
-    def __contains__(self, key: tuple[str, str]) -> bool:
-        return key in self.times
-
-    def __len__(self) -> int:
-        return len(self.times)
-
-    def add(self, key: tuple[str, str], item: Row | Vouch) -> None:
-        """What was told of the same before is out."""
-        if (before := self.times.get(key)) is not None:
-            del self.levels[before][key]
-        self.times[key] = 0
-        self.levels[0][key] = item
-
-    def take(self, most: int, times: int) -> Iterator[Row | Vouch]:
-        """Up to so many to go along now; each goes out so often at most."""
-        told: list[tuple[tuple[str, str], Row | Vouch, int]] = []
-        for level, items in enumerate(self.levels):
-            while items and len(told) < most:  # what was never passed on: the newest first
-                told.append((*items.popitem(last=level == 0), level + 1))
-        for key, item, level in told:
-            if level >= times:
-                del self.times[key]
-            else:
-                if level == len(self.levels):
-                    self.levels.append(OrderedDict())
-                self.levels[level][key] = item
-                self.times[key] = level
-            yield item
-
-
-@dataclass(slots=True)
-class Damped:
-    """What users were told of a member, and when a change may be told."""
-
-    there: bool
-    turned_at: float
-    told_at: float = float("-inf")
-    flaps: int = 0
-
-
 @dataclass(slots=True)
 class Counts:
     """For operators."""
@@ -163,6 +118,7 @@
         self.round: list[str] = []
         self.urgent: list[str] = []
         self.next_probe = now
+        self.newer: Row | None = None  # who took this process's name, where it was taken
         self.rumours = Rumours()
         self.vouches = 0
         self.seeds: list[tuple[str, int]] = []
@@ -172,7 +128,7 @@
         self.differs = 0
         self.next_exchange = now
         self.heard_at = now  # when the newest question was asked that anybody answered
-        self.damped: dict[str, Damped] = {own.name: Damped(True, now, now)}
+        self.damping = Damping(own.name, now)
         self.counts = Counts()
         self.gone_gap = 0.0
         self.lease = Lease()
@@ -206,8 +162,10 @@
             self.look_for_gone(now)
         elif self.table.displaced and now >= self.next_probe:
             self.next_probe = now + DISPLACED_S
-            for record in self.chance.sample(self.table.others(), min(1, len(self.table.others()))):
-                self.send(record.row, Ping(self.table.own, self.number(), self.table.digest))
+            others = [record.row for record in self.table.others()]
+            asked = self.chance.sample(others, min(1, len(others)))
+            for row in asked if self.newer is None else [*asked, self.newer]:
+                self.send(row, Ping(self.table.own, self.number(), self.table.digest))
         window = window_s(self.table, self.tuning.probe_s)
         words = (self.tuning.forget_s, window, self.tuning.pause_s)
         self.leased = self.lease.held(self.table, now, *words) and not self.table.displaced
@@ -266,14 +224,14 @@
     # The view
 
     def members(self, now: float) -> list[Seen]:
-        alone = self.alone(now)
+        alone = self.alone(now, self.tuning.suspect_s * self.tuning.patience)
         return [
             Seen(
                 r.row.name,
                 (r.row.host, r.row.port),
                 r.row.building,
                 r.row.incarnation,
-                State.GONE if alone and self.overdue(now, r) else r.state,
+                State.GONE if alone and r.present and r.row.name != self.table.name else r.state,
                 r.since,
                 (way := self.ways.get(r.row.name)) is not None and way.failing >= DIFFERS and r.present,
             )
@@ -287,32 +245,14 @@
         leased = self.leased and now - self.ticked_at < self.tuning.forget_s / 4.0
         return bounds(self.table, now, self.tuning.forget_s, window, alone, leased, self.woke_at)
 
-    def alone(self, now: float) -> bool:
+    def alone(self, now: float, longer_s: float = 0.0) -> bool:
         """Whether nobody answers: then what is not heard is no news of others."""
         waited = self.tuning.verdict_s * 2.0 + self.tuning.probe_s * (1 + self.ill)
-        return now - self.heard_at >= waited + self.tuning.suspect_s
+        return now - self.heard_at >= waited + max(self.tuning.suspect_s, longer_s)
 
     def changes(self, now: float) -> list[tuple[Seen, bool]]:
-        """What users are to be told: members that came or went, once that has held, and the seldomer the more
-        they flap."""
-        found = []
-        for seen in self.members(now):
-            there = seen.state <= State.SUSPECT
-            known = self.damped.get(seen.name)
-            if known is None:
-                self.damped[seen.name] = Damped(there, now, now)
-                found.append((seen, there))
-                continue
-            if there == known.there:
-                known.turned_at = now
-                if now - known.told_at >= 4 * DAMP_MOST_S:
-                    known.flaps = 0
-                continue
-            rest = min(DAMP_S * 2.0**known.flaps, DAMP_MOST_S)
-            if now - known.turned_at >= DAMP_S and now - known.told_at >= rest:
-                known.there, known.told_at, known.flaps = there, now, known.flaps + 1
-                found.append((seen, there))
-        return found
+        """What users are to be told: members that came or went (`Damping`)."""
+        return self.damping.changes(now, self.members(now))
 
     # One's own standing still
 
@@ -382,41 +322,52 @@
         seq = self.number()
         if asked_by is not None:
             direct = whole = max(self.tuning.direct_s, 3.0 * way.trip_s)
-        self.probes[seq] = Probe(target.name, now, now + direct, now + whole, asked_by=asked_by)
+        ends = (now + direct / 2.0, now + direct, now + whole)
+        self.probes[seq] = Probe(target.name, now, *ends, asked_by=asked_by)
         self.counts.probes += asked_by is None
         record = self.table.records.get(target.name)
         self.send(target if record is None else record.row, Ping(self.table.own, seq, self.table.digest))
 
     def follow(self, now: float, seq: int, probe: Probe) -> None:
-        """Ask others where no answer came, and judge where none came by them either."""
+        """Ask again, then others, where no answer came, and judge where none came by them either."""
+        known = self.table.records.get(probe.target)
+        if now >= probe.again_at and not probe.asked_again and known is not None and known.present:
+            probe.asked_again = True
+            self.send(known.row, Ping(self.table.own, seq, self.table.digest))
         if probe.asked_by is not None:
             if now >= probe.ends_at:
                 probe.over = True
                 self.relay(probe, False)
             return
-        if probe.target not in self.table.records:
+        if known is None:
             probe.over = True
             return
         if now >= probe.relays_at and not probe.relays:
-            there = [
-                r
-                for r in self.table.others()
-                if r.row.name != probe.target and r.state == State.ALIVE
-            ]
-            chosen = self.chance.sample(there, min(len(there), RELAYS))
+            chosen = self.relays_for(probe.target)
             probe.relays = len(chosen) or -1
-            target = self.table.records[probe.target].row
             for record in chosen:
-                self.send(record.row, Ask(self.table.own, seq, self.table.digest, target=target))
-        if now >= probe.ends_at:
+                self.send(record.row, Ask(self.table.own, seq, self.table.digest, target=known.row))
+        unheard = probe.relays > 0 and not probe.answers
+        if now >= probe.ends_at + (self.tuning.direct_s if unheard else 0.0):
             probe.over = True
             self.failed(now, probe)
 
+    def relays_for(self, target: str) -> list[Record]:
+        """Whom to ask about it: who answered last, and some of those who answered lately. They are known to
+        be in reach, also where most are dead."""
+        there = [r for r in self.table.others() if r.row.name != target and r.state == State.ALIVE]
+        first, *rest = heapq.nlargest(LATELY, there, key=lambda r: r.answered_at) or [None]
+        if first is None:
+            return []
+        return [first, *self.chance.sample(rest, min(len(rest), RELAYS - 1))]
+
     def failed(self, now: float, probe: Probe) -> None:
         self.counts.failed += 1
-        if probe.relays > 0 and not probe.answers:  # not even a relay's no: the fault may be here
-            self.ill = min(self.ill + 1, MOST_ILL)
         record = self.table.records[probe.target]
+        if probe.relays > 0 and not probe.answers:  # not even a relay's no: the fault may be here
+            if self.heard_at < probe.sent_at:
+                self.ill = min(self.ill + 1, MOST_ILL)
+            return
         if not record.present or record.answered_at >= probe.sent_at:
             return
         if self.table.name not in record.by or record.state == State.ALIVE:
@@ -455,15 +406,21 @@
         if probe is None or probe.asked_by is not None:
             return
         probe.answers += 1
-        self.heard_at = max(self.heard_at, probe.sent_at)  # the relay lives
+        self.heard(now, probe.sent_at)  # the relay lives
         if answered:
             self.lives(now, probe)
             if not probe.over:
                 self.ways.setdefault(probe.target, Way()).failing += 1
             probe.over = True
 
+    def heard(self, now: float, asked_at: float) -> None:
+        """Somebody lives who was asked then."""
+        if self.alone(now):
+            self.woke_at = now  # what is held of the others is from before
+        self.heard_at = max(self.heard_at, asked_at)
+
     def lives(self, now: float, probe: Probe) -> None:
-        self.heard_at = max(self.heard_at, probe.sent_at)
+        self.heard(now, probe.sent_at)
         record = self.table.records.get(probe.target)
         if record is None:
             return
@@ -537,12 +494,16 @@
         if done is Merged.NOTHING:
             return
         if done is Merged.DISPLACED:
-            self.out.append(
-                Warn(
-                    f"another process, at {row.host}:{row.port}, has the name {row.name} and is newer: "
-                    "this one takes no part until it is gone. Give each its own [membership] name"
+            if self.newer is None or self.newer.process != row.process:
+                self.out.append(
+                    Warn(
+                        f"another process, at {row.host}:{row.port}, has the name {row.name} and is newer: "
+                        "this one takes no part until it is gone. Give each its own [membership] name"
+                    )
                 )
-            )
+                # The other one is to hear of it as well.
+                self.send(row, Ping(self.table.own, self.number(), self.table.digest))
+            self.newer = row
             return
         if done is Merged.REFUTED:
             if row.process != self.table.process and self.table.settled:
--- a/rushhitch/membership/server.py
+++ b/rushhitch/membership/server.py
@@ -14,10 +14,12 @@
 import time
 from collections.abc import Iterable
 from dataclasses import asdict
+from pathlib import Path
 from typing import Any
 
 from rushhitch.config.own import Membership
 from rushhitch.membership.detector import Detector, Tuning
+from rushhitch.membership.kept import Kept
 from rushhitch.membership.messages import Exchange, Output, Row, Send, Warn
 from rushhitch.membership.view import Bounds, Seen, State, Subscriber
 from rushhitch.membership.wire import (
@@ -47,13 +49,17 @@
 class Server:
     """One member. It is a `View` (`rushhitch.membership.view`)."""
 
-    def __init__(self, told: Membership, fleet: int, incarnation: int = 0) -> None:
+    def __init__(
+        self, told: Membership, fleet: int, incarnation: int = 0, folder: Path | None = None
+    ) -> None:
         """`fleet` is how many operators run at most; `incarnation` one that an earlier process had, if it is
-        known: none is needed."""
+        known, and `folder` where it is kept, if it is: neither is needed."""
         self.loop = asyncio.get_running_loop()
         process = int.from_bytes(os.urandom(8), "big") >> 2
         host, port = told.advertise
-        first = max(int(time.time() * 1000), incarnation + 1)
+        self.kept = Kept(folder, told.name) if folder is not None else None
+        before = max(incarnation, self.kept.read() if self.kept is not None else 0)
+        first = max(int(time.time() * 1000), before + 1)
         own = Row(told.name, host, port, told.building, first, process, int(State.ALIVE))
         self.told = told
         tuning = Tuning(fleet=fleet, forget_s=told.forget_s)
@@ -64,6 +70,7 @@
         self.listening: asyncio.Task[asyncio.Server] | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.streams: set[asyncio.Task[None]] = set()
+        self.unproved: dict[asyncio.Task[None], None] = {}  # who has shown no secret yet
         self.subscribers: list[Subscriber] = []
         self.deaf = False
         self.read_until, self.reading_s = self.loop.time(), 0.0  # processor time of this tick's reading
@@ -125,6 +132,8 @@
             self.loop.add_reader(self.sock, self.readable)
         self.drain()  # what waited in the socket is taken before anybody is judged
         self.act(self.detector.tick(now))
+        if self.kept is not None:
+            self.kept.keep(now, self.detector.table.own.incarnation)
         for seen, there in self.detector.changes(now):
             log.info("member %s is %s", seen.name, "there" if there else seen.state.name.lower())
             for heard in self.subscribers:
@@ -216,10 +225,16 @@
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
-        if task is None or len(self.streams) >= MOST_STREAMS:
-            writer.close()
-            return
+        assert task is not None, "a stream is served by a task of its own"
+        if len(self.streams) >= MOST_STREAMS:
+            if not self.unproved:
+                writer.close()
+                return
+            oldest = next(iter(self.unproved))
+            del self.unproved[oldest]
+            oldest.cancel()  # whoever keeps silent gives way
         self.keep(task)
+        self.unproved[task] = None
         stream = Stream(Role.MEMBER, self.sessions.process, self.told.secret, os.urandom(16), calls=False)
         try:
             async with asyncio.timeout(STREAM_S):
@@ -230,6 +245,7 @@
                     if not data:
                         return
                     payload = stream.receive(data)
+                self.unproved.pop(task, None)
                 if stream.role is Role.SHOW:
                     writer.write(stream.sealed(json.dumps(self.report()).encode()))
                 else:
@@ -241,6 +257,7 @@
         except (OSError, TimeoutError):
             pass
         finally:
+            self.unproved.pop(task, None)
             writer.close()
 
     # For operators
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -301,7 +301,7 @@
 
     named = replace(set_up, name=set_up.name or configuration.name)
     fleet = set_up.fleet or configuration.settings.dispatchers
-    return Server(named, fleet, int((told or {}).get("incarnation", 0)))
+    return Server(named, fleet, int((told or {}).get("incarnation", 0)), configuration.state)
 
 
 def codecs(own: Own) -> dict[int, Codec]:
