--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import os
 import random
 import statistics
@@ -16,9 +17,10 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
-from typing import Any
 
 from benchmarks.report import Figure, finish, main_of
+from benchmarks.throughput import Bench
+from benchmarks.throughput import scenario as fast
 from lab.fleet import MemberFleet
 from lab.membership import World, storm
 from lab.membership_baselines import Heartbeats, PlainSwim
@@ -33,6 +35,10 @@
 AIM_WORST_S = 3.0  # of 20 processes
 AIM_BYTES = 3_000.0  # a second
 AIM_CORE = 0.02  # of a core, more than with membership off
+AIMED = (0.05, True)  # the losses and pauses for which the aim is set
+JOINED_S = 14.0  # past what a fleet passes on while it joins
+MEASURED_S = 4.0
+LOAD_PER_S = 300.0  # messages
 SCENARIO = """
 [[class]]
 name = "note"
@@ -53,9 +59,8 @@
     return world
 
 
-def kills(told: tuple[str, int, float, int]) -> tuple[list[float], float]:
+def kills(scheme: str, size: int, loss: float, seed: int) -> tuple[list[float], float]:
     """Seconds until each survivor holds a killed member gone, and bytes a second that a member sends."""
-    scheme, size, loss, seed = told
     world = fleet_of(size, seed, scheme, loss)
     sent, begun = sum(p.sent_bytes for p in world.members.values()), world.now
     world.run(world.now + 5.0)
@@ -69,9 +74,8 @@
     return [found.get(name, 15.0) for name in world.members if name != victim], per_s
 
 
-def burials(told: tuple[str, float, bool, int]) -> tuple[int, float]:
+def burials(scheme: str, loss: float, pauses: bool, seed: int) -> tuple[int, float]:
     """How often a member held another gone that ran and did not stand still, and member-hours played."""
-    scheme, loss, pauses, seed = told
     world = fleet_of(20, seed, scheme, loss)
     chance, begun = random.Random(seed), world.now
     held = len(world.history.held)
@@ -88,122 +92,199 @@
     return false, 20 * (world.now - begun) / 3600.0
 
 
+def bursts(scheme: str, seed: int) -> int:
+    """How many verdicts follow three seconds in which all is lost, in a fleet of 20."""
+    world = fleet_of(20, seed, scheme, 1.0)
+    held = len(world.history.held)
+    world.run(world.now + 3.0)
+    world.loss = 0.0
+    world.run(world.now + 8.0)
+    return sum(h.state == State.GONE for h in world.history.held[held:])
+
+
+def flaps(scheme: str, seed: int) -> float:
+    """Changes of a view for each cut, where one of 20 is cut off each second second for a minute."""
+    world = fleet_of(20, seed, scheme)
+    held = len(world.history.held)
+    for second in range(60):
+        apart = second % 2 == 0
+        world.set_cut(lambda a, b, apart=apart: apart and "m0003" in (a, b))
+        world.run(world.now + 1.0)
+    turns = [h for h in world.history.held[held:] if h.name == "m0003" != h.by and h.state != State.SUSPECT]
+    return len(turns) / 19 / 30
+
+
 def stormy(seed: int) -> int:
     world = storm(seed)
     return len(check(world.history, len(world.ports)))
 
 
-async def real(size: int, rounds: int, folder: Path, settings: dict[str, Any]) -> dict[str, float]:
-    """Twenty processes of the program: kills, and what it costs beside the same with membership off."""
-
-    def cpu(fleet: MemberFleet) -> float:
-        total = 0.0
-        for process in fleet.processes.values():
-            fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
-            total += sum(map(int, fields[11:13])) / os.sysconf("SC_CLK_TCK")
-        return total / size
-
-    def rss(fleet: MemberFleet) -> float:
-        pages = [int(Path(f"/proc/{p.pid}/statm").read_text().split()[1]) for p in fleet.processes.values()]
-        return statistics.median(pages) * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-    used, memory, worst, per_s = {}, {}, [], 0.0
-    for member in (False, True):
-        place = folder / str(member)
-        place.mkdir()
-        async with MemberFleet(place, size, settings, member=member) as fleet:
-            if not member:
-                fleet.tasks.pop().cancel()  # there is nobody to ask
-            else:
-                await fleet.until(fleet.all_there, 20.0)
-                fleet.tasks.pop().cancel()
-            await asyncio.sleep(1.0)
-            before, begun = cpu(fleet), time.monotonic()
-            await asyncio.sleep(6.0)
-            used[member] = (cpu(fleet) - before) / (time.monotonic() - begun)
-            memory[member] = rss(fleet)
-            if not member:
-                continue
-            fleet.tasks.append(asyncio.get_running_loop().create_task(fleet.watch.run()))
-            await fleet.until(fleet.all_there, 20.0)
-            await asyncio.sleep(max(14.0 - fleet.now, 0.0))  # past the joining
-            before, begun = sum(report["sent_bytes"] for report in fleet.reports.values()), fleet.now
-            await asyncio.sleep(5.0)
-            sent = sum(report["sent_bytes"] for report in fleet.reports.values()) - before
-            per_s = sent / size / (fleet.now - begun)
-            for number in range(rounds):
-                victim = fleet.names[number]
-                await fleet.kill(victim)
-                others = fleet.up()
-                worst.append(
-                    await fleet.until(
-                        lambda v=victim, o=others: all(fleet.states(by).get(v) == "gone" for by in o), 20.0
-                    )
-                )
-                await fleet.start(victim)
-                await fleet.until(fleet.all_there, 20.0)
-    return {
-        "worst_s": max(worst),
-        "median_s": statistics.median(worst),
-        "core": used[True] - used[False],
-        "core_off": used[False],
-        "bytes_per_s": per_s,
-        "memory_mb": memory[True] - memory[False],
-    }
-
-
-def run(quick: bool) -> int:
-    seeds, storms = (1, 16) if quick else (20, 2_000)
+def simulated(quick: bool) -> list[Figure]:
+    """All on virtual time, each play a task of its own."""
+    seeds, storms, depth = (1, 16, 5) if quick else (20, 2_000, 7)
     figures: list[Figure] = []
-    loads: list[float] = []
     with ProcessPoolExecutor() as pool:
-        cases = [("detector", 20, loss) for loss in (0.0, 0.05, 0.2)]
-        cases += [("heartbeats", 20, 0.0), ("plain SWIM", 20, 0.0), ("detector", 100, 0.0)]
-        cases += [] if quick else [("detector", 300, 0.0), ("detector", 1000, 0.0)]
-        for scheme, size, loss in cases:
-            several = 1 if size > 50 and quick else 2 if size >= 300 else seeds
-            done = list(pool.map(kills, [(scheme, size, loss, seed) for seed in range(several)]))
-            times = sorted(t for found, _ in done for t in found)
+        small = pool.submit(explore, met(), depth)
+        cases = [] if quick else [("detector", 1000, 0.0, 2), ("detector", 300, 0.0, 2)]
+        cases += [("detector", 100, 0.0, 1 if quick else seeds)]
+        cases += [("detector", 20, loss, seeds) for loss in (0.0, 0.05, 0.2)]
+        cases += [("heartbeats", 20, 0.0, seeds), ("plain SWIM", 20, 0.0, seeds)]
+        found = {
+            (scheme, size, loss): [pool.submit(kills, scheme, size, loss, seed) for seed in range(several)]
+            for scheme, size, loss, several in cases
+        }
+        patterns = [(0.0, True), (0.05, False), (0.05, True), (0.2, True)]
+        several = {pattern: max(seeds, 4) if pattern == AIMED else seeds for pattern in patterns}
+        buried = {
+            (scheme, *pattern): [pool.submit(burials, scheme, *pattern, s) for s in range(several[pattern])]
+            for pattern in patterns
+            for scheme in SCHEMES
+        }
+        after = {scheme: [pool.submit(bursts, scheme, s) for s in range(seeds)] for scheme in SCHEMES}
+        flapped = {scheme: [pool.submit(flaps, scheme, s) for s in range(seeds)] for scheme in SCHEMES}
+        stormed = [pool.submit(stormy, seed) for seed in range(storms)]
+        loads: dict[tuple[int, float], float] = {}
+        for (scheme, size, loss), plays in found.items():
+            done = [play.result() for play in plays]
+            times = sorted(t for found_s, _ in done for t in found_s)
             per_s = statistics.mean(rate for _, rate in done)
             high = times[int(0.99 * (len(times) - 1))]
-            beside = f"99th {high:.2f} s, worst {times[-1]:.2f} s, {per_s:.0f} B/s"
+            beside = f"99th {high:.2f} s, worst {times[-1]:.2f} s, {per_s:.0f} B/s, seeds {len(done)}"
             name = f"{scheme}, one of {size} killed, {loss:.0%} lost: median"
             figures.append(Figure(name, statistics.median(times), "s", beside=beside))
-            if scheme == "detector" and not loss:
-                loads.append(per_s)
+            if scheme == "detector":
+                loads[size, loss] = per_s
         false: dict[tuple[str, float, bool], float] = {}
-        hours = 0.0
-        for loss, pauses in ((0.0, True), (0.05, False), (0.05, True), (0.2, True)):
-            for scheme in SCHEMES:
-                several = max(seeds, 4) if (loss, pauses) == (0.05, True) else seeds  # the aim is set there
-                done = list(pool.map(burials, [(scheme, loss, pauses, seed) for seed in range(several)]))
-                hours = sum(played for _, played in done)
-                rate = sum(n for n, _ in done) / hours
-                false[scheme, loss, pauses] = rate
-                name = f"{scheme}, {loss:.0%} lost{', pauses' if pauses else ''}: false burials"
-                figures.append(Figure(name, rate, "a member-hour"))
-        broken = sum(pool.map(stormy, range(storms), chunksize=4))
-    ours, plain = false["detector", 0.05, True], false["heartbeats", 0.05, True]
-    hours = max(seeds, 4) * 20 * 120.0 / 3600.0
+        for (scheme, loss, pauses), plays in buried.items():
+            done = [play.result() for play in plays]
+            rate = sum(n for n, _ in done) / sum(hours for _, hours in done)
+            false[scheme, loss, pauses] = rate
+            name = f"{scheme}, {loss:.0%} lost{', pauses' if pauses else ''}: false burials"
+            figures.append(Figure(name, rate, "a member-hour"))
+        hours = sum(play.result()[1] for play in buried["detector", *AIMED])
+        for scheme in SCHEMES:
+            verdicts = statistics.mean(play.result() for play in after[scheme])
+            aim = ("<=", 0.0) if scheme == "detector" else ("", 0.0)
+            figures.append(Figure(f"{scheme}, verdicts after 3 s of total loss", verdicts, "", *aim))
+        for scheme in SCHEMES:
+            changes = statistics.mean(play.result() for play in flapped[scheme])
+            figures.append(Figure(f"{scheme}, changes of a view for each flap", changes, ""))
+        broken = sum(play.result() for play in stormed)
+        model = small.result()
+    ours, plain = false["detector", *AIMED], false["heartbeats", *AIMED]
     ratio = plain / max(ours, 1.0 / hours)
     beside = f"ours counted as one in {hours:.1f} member-hours, where there was none"
     figures.append(Figure("heartbeats' false burials by ours", ratio, "", ">=", AIM_FALSE, beside))
-    figures.append(Figure("most bytes that a member sends", max(loads), "B/s", "<=", AIM_BYTES))
+    told = sorted(loads.items())
+    beside = ", ".join(f"{rate:.0f} of {size}, {loss:.0%} lost" for (size, loss), rate in told)
+    most = max(loads.values())
+    figures.append(Figure("most bytes that a member sends", most, "B/s", "<=", AIM_BYTES, beside))
     figures.append(Figure("properties broken in storms", broken, "", "<=", 0, f"{storms} storms"))
-    found = explore(met(), 4 if quick else 6)
-    wrong = float(found.broken is not None)
-    beside = f"{found.states} states, {found.steps} steps to depth {found.depth}"
+    wrong = float(model.broken is not None)
+    beside = f"{model.states} states, {model.steps} steps to depth {model.depth}"
     figures.append(Figure("properties broken in the small model", wrong, "", "<=", 0, beside))
+    return figures
+
+
+def cpu_s(fleet: MemberFleet) -> float:
+    """Processor time of all its processes."""
+    total = 0.0
+    for process in fleet.processes.values():
+        fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+        total += sum(map(int, fields[11:13])) / os.sysconf("SC_CLK_TCK")
+    return total
+
+
+def rss_mb(fleet: MemberFleet) -> float:
+    pages = [int(Path(f"/proc/{p.pid}/statm").read_text().split()[1]) for p in fleet.processes.values()]
+    return statistics.median(pages) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def sent_bytes(fleet: MemberFleet) -> float:
+    return sum(report["sent_bytes"] for report in fleet.reports.values())
+
+
+async def real(size: int, rounds: int, folder: Path, quick: bool) -> list[Figure]:
+    """Twenty processes of the program, beside as many with membership off. The simulations are played while
+    they join."""
     settings = parse(SCENARIO, "members").settings(0)
+    for name in ("on", "off"):
+        (folder / name).mkdir()
+    off = MemberFleet(folder / "off", size, settings, member=False)
+    on = MemberFleet(folder / "on", size, settings)
+    async with off, on:
+        off.tasks[-1].cancel()  # there is nobody to ask
+        figures = await asyncio.to_thread(simulated, quick)
+        await on.until(on.all_there, 30.0)
+        while on.now < JOINED_S:
+            await asyncio.sleep(0.1)
+        watch = on.tasks.pop()
+        watch.cancel()  # what it costs to be watched is not what it costs
+        before, begun = (cpu_s(on), cpu_s(off)), time.monotonic()
+        await asyncio.sleep(MEASURED_S)
+        lasted = time.monotonic() - begun
+        used, used_off = ((cpu_s(f) - b) / lasted / size for f, b in zip((on, off), before, strict=True))
+        more_mb = rss_mb(on) - rss_mb(off)
+        on.tasks.append(asyncio.get_running_loop().create_task(on.watch.run()))
+        await on.until(on.all_there, 20.0)
+        sent, begun = sent_bytes(on), on.now
+        await asyncio.sleep(MEASURED_S)
+        per_s = (sent_bytes(on) - sent) / size / (on.now - begun)
+        took = []
+        for victim in on.names[:rounds]:
+            await on.kill(victim)
+            others = on.up()
+            all_hold = lambda v=victim, o=others: all(on.states(by).get(v) == "gone" for by in o)  # noqa: E731
+            took.append(await on.until(all_hold, 20.0))
+            await on.start(victim)
+            await on.until(on.all_there, 20.0)
+    beside = f"median {statistics.median(took):.2f} s of {rounds} kills"
+    figures.append(Figure("20 processes: worst detection", max(took), "s", "<=", AIM_WORST_S, beside))
+    figures.append(Figure("20 processes: sent by each", per_s, "B/s", "<=", AIM_BYTES))
+    beside = f"{used_off:.4f} with membership off"
+    figures.append(Figure("20 processes: more of a core", used - used_off, "", "<=", AIM_CORE, beside))
+    figures.append(Figure("20 processes: more memory", more_mb, "MB"))
+    return figures
+
+
+async def loaded(size: int, rounds: int, seconds: float, folder: Path) -> Figure:
+    """One of the members under load, beside one with membership off under the same, in turns: the part of a
+    core's messages that it costs."""
+    benches = {}
+    shares: dict[bool, list[float]] = {False: [], True: []}
+    per_s: list[float] = []
+    try:
+        for members in shares:
+            place = folder / f"load {members}"
+            place.mkdir()
+            told = dataclasses.replace(fast(seconds), members=members, dispatchers=size)
+            benches[members] = bench = Bench(told, place, lambda text: None)
+            await bench.start()
+            bench.clients.ports = {"d0": bench.clients.ports["d0"]}
+            await bench.offer(100.0, 1.0)  # connections come up
+        for turn in range(2 * rounds):
+            members = turn % 4 in (0, 3)
+            told = await benches[members].offer(LOAD_PER_S, seconds)
+            shares[members].append(told["share"])
+            per_s.append(told["per_s"])
+    finally:
+        for bench in benches.values():
+            await bench.stop()
+            bench.member_ways.stop()
+    with_it, without = (statistics.median(shares[members]) for members in (True, False))
+    beside = f"{with_it:.3f} and {without:.3f} of a core for {statistics.mean(per_s):.0f} messages a second"
+    return Figure("under load: more of a core", with_it - without, "", "<=", AIM_CORE, beside)
+
+
+async def play(quick: bool, folder: Path) -> list[Figure]:
+    figures = await real(20, 2 if quick else 10, folder, quick)
+    size, rounds, seconds = (4, 2, 2.0) if quick else (20, 8, 4.0)
+    return [*figures, await loaded(size, rounds, seconds, folder)]
+
+
+def run(quick: bool) -> int:
     with tempfile.TemporaryDirectory() as folder:
-        told = asyncio.run(real(20, 2 if quick else 10, Path(folder), settings))
-    beside = f"median {told['median_s']:.2f} s"
-    figures.append(Figure("20 processes: worst detection", told["worst_s"], "s", "<=", AIM_WORST_S, beside))
-    figures.append(Figure("20 processes: sent by each", told["bytes_per_s"], "B/s", "<=", AIM_BYTES))
-    beside = f"{told['core_off']:.4f} with membership off"
-    figures.append(Figure("20 processes: more of a core", told["core"], "", "<=", AIM_CORE, beside))
-    figures.append(Figure("20 processes: more memory", told["memory_mb"], "MB"))
-    return finish("Membership", figures)
+        return finish("Membership", asyncio.run(play(quick, Path(folder))))
 
 
 if __name__ == "__main__":
