--- a/rushhitch/membership/bounds.py
+++ b/rushhitch/membership/bounds.py
@@ -33,8 +33,8 @@
 
 def counted(table: Table, forget_s: float) -> int:
     """All that cannot be proved gone, and those of the stated fleet that were never met."""
-    known = sum(not proved_gone(record, forget_s) for record in table.records.values())
-    return known + max(0, table.fleet - len(table.records))
+    proved = sum(proved_gone(record, forget_s) for record in table.over.values())
+    return max(len(table.records), table.fleet) - proved
 
 
 def in_touch(table: Table, now: float, forget_s: float) -> bool:
--- a/rushhitch/membership/table.py
+++ b/rushhitch/membership/table.py
@@ -68,6 +68,7 @@
         self.records = {own.name: Record(own, now)}
         self.digest = mark(own)
         self.there: dict[str, Record] = {}  # the others that are not held gone
+        self.over: dict[str, Record] = {}  # the others that are, or have left
         self.suspects: set[str] = set()
         self.gone: set[str] = set()
         self.settled = False  # past its joining: a namesake that comes now is a newer process
@@ -87,10 +88,9 @@
             return
         for names, held in ((self.suspects, State.SUSPECT), (self.gone, State.GONE)):
             (names.add if state == held else names.discard)(name)
-        if record.present:
-            self.there[name] = record
-        else:
-            self.there.pop(name, None)
+        now, before = (self.there, self.over) if record.present else (self.over, self.there)
+        now[name] = record
+        before.pop(name, None)
 
     def merge(self, row: Row, now: float) -> Merged:
         """Take a row that another told."""
@@ -163,10 +163,10 @@
         self.records[record.row.name] = record
         self.digest ^= mark(record.row)
         self.sort_in(record)
-        if len(self.records) - len(self.there) > MOST_FORGOTTEN * max(self.fleet, 8):
-            over = [r for r in self.records.values() if not r.present]
-            oldest = min(over, key=lambda r: (r.row.state != State.LEFT, r.since))
+        if len(self.over) >= MOST_FORGOTTEN * max(self.fleet, 8):
+            oldest = min(self.over.values(), key=lambda r: (r.row.state != State.LEFT, r.since))
             del self.records[oldest.row.name]
+            del self.over[oldest.row.name]
             self.gone.discard(oldest.row.name)
             self.digest ^= mark(oldest.row)
 
