--- a/tests/test_membership_faults.py
+++ b/tests/test_membership_faults.py
@@ -8,9 +8,10 @@
 
 import pytest
 from doubles import TOLD
-from fleets import all_hold, cut, healed, with_fleet
+from fleets import all_hold, with_fleet
 
 from lab.fleet import MemberFleet
+from lab.member_cases import cut, healed
 from lab.member_ways import SECRET, WayFault
 from rushhitch.membership.kept import FILE, Kept
 from rushhitch.membership.server import MOST_STREAMS
