An overdue suspicion is told again with each failed probe: its witnesses' words may be lost

Each had suspected it, and none knew of two witnesses: a row goes out five times, some of those to members beyond the cut, and suspicions are in no digest (failed, detector.py). A test without sockets fails without it.

--- a/rushhitch/membership/detector.py
+++ b/rushhitch/membership/detector.py
@@ -376,6 +376,8 @@
             self.counts.suspicions += fresh
             self.counts.changes += fresh
             self.spread(record)
+        elif self.overdue(now, record):
+            self.spread(record)  # a witness's word was lost: no digest tells of that
 
     def answered(self, now: float, seq: int, who: Row, digest: int) -> None:
         """An answer to a ping of ours: whoever it is was alive when it was asked."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -151,6 +151,18 @@
     assert net.state("b") == State.SUSPECT
 
 
+def test_a_suspicion_that_is_overdue_is_told_again():
+    # Its first words may all have been lost, and suspicions are in no digest: nothing else would tell.
+    detector = member()
+    net = Net(detector, dead={"b"})
+    net.run(20.0)
+    told = 0
+    for _ in range(50):
+        net.run(0.1)
+        told += ("row", "b") in detector.rumours
+    assert net.state("b") == State.SUSPECT and told > 10
+
+
 def test_a_pair_that_cannot_talk_is_a_fact_of_its_own_and_no_death():
     detector = member()
     net = Net(detector, silent={"b"})
