--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -41,6 +41,7 @@
 JOINED_S = 14.0  # past what a fleet passes on while it joins
 MEASURED_S = 4.0
 LOAD_PER_S = 300.0  # messages
+POLL_S = 0.03
 SCENARIO = """
 [[class]]
 name = "note"
@@ -254,7 +255,30 @@
     return figures
 
 
-async def loaded(size: int, rounds: int, seconds: float, folder: Path) -> Figure:
+async def found_under_load(bench: Bench, rounds: int) -> Figure:
+    """Kills while all of them have messages to carry."""
+    watch = asyncio.get_running_loop().create_task(bench.members.run())
+    took = []
+    for victim in list(bench.dispatchers)[1 : 1 + rounds]:
+        while not bench.members.alike():
+            await asyncio.sleep(POLL_S)
+        load = asyncio.get_running_loop().create_task(bench.offer(LOAD_PER_S, 8.0))
+        await asyncio.sleep(1.0)
+        await bench.dispatchers[victim].kill()
+        begun = bench.history.now()
+        others = [name for name in bench.dispatchers if name != victim]
+        while not all(bench.members.states(by).get(victim) == "gone" for by in others):
+            await asyncio.sleep(POLL_S)
+        took.append((bench.history.now() - begun) / 1000.0)
+        await load
+        await bench.dispatchers[victim].start()
+    watch.cancel()
+    beside = f"median {statistics.median(took):.2f} s of {rounds} kills, {LOAD_PER_S:.0f} messages a second"
+    name = f"{len(bench.dispatchers)} processes under load: worst detection"
+    return Figure(name, max(took), "s", "<=", AIM_WORST_S, beside)
+
+
+async def loaded(size: int, rounds: int, seconds: float, folder: Path, found: int) -> list[Figure]:
     """One of the members under load, beside one with membership off under the same, in turns: the part of a
     core's messages that it costs."""
     benches = {}
@@ -267,20 +291,23 @@
             told = dataclasses.replace(fast(seconds), members=members, dispatchers=size)
             benches[members] = bench = Bench(told, place, lambda text: None)
             await bench.start()
-            bench.clients.ports = {"d0": bench.clients.ports["d0"]}
+            all_ports = bench.clients.ports
+            bench.clients.ports = {"d0": all_ports["d0"]}
             await bench.offer(100.0, 1.0)  # connections come up
         for turn in range(2 * rounds):
             members = turn % 4 in (0, 3)
             told = await benches[members].offer(LOAD_PER_S, seconds)
             shares[members].append(told["share"])
             per_s.append(told["per_s"])
+        benches[True].clients.ports = all_ports
+        more = [await found_under_load(benches[True], found)] if found else []
     finally:
         for bench in benches.values():
             await bench.stop()
             bench.member_ways.stop()
     with_it, without = (statistics.median(shares[members]) for members in (True, False))
     beside = f"{with_it:.3f} and {without:.3f} of a core for {statistics.mean(per_s):.0f} messages a second"
-    return Figure("under load: more of a core", with_it - without, "", "<=", AIM_CORE, beside)
+    return [Figure("under load: more of a core", with_it - without, "", "<=", AIM_CORE, beside), *more]
 
 
 async def minutes(folder: Path) -> Figure:
@@ -320,7 +347,7 @@
     with tempfile.TemporaryDirectory() as told:
         folder = Path(told)
         figures = asyncio.run(real(20, 2 if quick else 10, folder, quick))
-        figures.append(asyncio.run(loaded(*((4, 2, 2.0) if quick else (20, 8, 4.0)), folder)))
+        figures += asyncio.run(loaded(*((4, 2, 2.0, folder, 0) if quick else (20, 8, 4.0, folder, 5))))
         if not quick:
             figures += [asyncio.run(minutes(folder)), ten(folder)]
         return finish("Membership", figures)
