The lower bound asks for answers of late; a process that loses touch acts on for a while

Need of the next: in a fleet cut in two halves nobody held its lease once each had buried the other, so that what is shared would stand still. The lease lasts for a quarter of forget_s after touch is lost; nobody proves a member gone in less than all of it. New tests: long storms in which the gone are given up, and both halves.

--- a/lab/membership.py
+++ b/lab/membership.py
@@ -122,7 +122,7 @@
         self.ports = {f"m{n:04d}": 1000 + n for n in range(size)}
         self.by_port = {port: name for name, port in self.ports.items()}
         self.building = {name: "ab"[n % 2] if buildings == 2 else "a" for n, name in enumerate(self.ports)}
-        self.watching = True
+        self.watching, self.measuring = True, False
         for name in self.ports:
             self.at(self.chance.uniform(0.0, 1.0), lambda name=name: self.start(name))
 
@@ -152,6 +152,8 @@
     def kill(self, name: str) -> None:
         process = self.members.get(name)
         if process is not None and process.running:
+            if self.measuring:
+                self.note_bounds()  # it may have gone on since the last look
             process.running = False
             process.life.end, process.life.killed = self.now, True
 
@@ -272,10 +274,14 @@
 
     def measure(self, every: float = 0.5) -> None:
         """Note everybody's bounds from now on."""
+        self.measuring = True
+        self.note_bounds()
+        self.at(self.now + every, lambda: self.measure(every))
+
+    def note_bounds(self) -> None:
         for process in list(self.members.values()):
             if process.running and self.now >= process.still_until:
                 self.bound(process)
-        self.at(self.now + every, lambda: self.measure(every))
 
     def close(self) -> History:
         for name, since in self.apart_since.items():
@@ -342,9 +348,11 @@
 STORM = ("kill", "stop", "loss", "pair", "one", "half", "leave", "lag", "enobufs", "jump")
 
 
-def storm(seed: int, size: int = 8, seconds: float = 40.0, **told: Any) -> World:
+def storm(
+    seed: int, size: int = 8, seconds: float = 40.0, kind: type[World] = World, **told: Any
+) -> World:
     """A run with all faults from the seed, then a quiet time."""
-    world = World(size, seed, buildings=2, **told)
+    world = kind(size, seed, buildings=2, **told)
     chance = random.Random(f"storm {seed}")
     names = list(world.ports)
     world.run(8.0)
--- a/rushhitch/membership/bounds.py
+++ b/rushhitch/membership/bounds.py
@@ -19,6 +19,7 @@
 LEAST_WINDOW_S = 4.0
 ROUNDS = 2.0  # of probes of all members, which an agreement lasts
 HEARSAY_S = 10.0  # above the time in which a kill is found
+KEEP = 0.25  # of `forget_s`: so long a process acts on that has lost touch
 WAIT = 1.5  # windows that a process waits before it acts: clocks differ, and probes are on their way
 
 
@@ -50,35 +51,46 @@
 
 
 class Lease:
-    """Whether this process acts: see above. Ask it again whenever time has passed."""
+    """Whether this process acts: see above. Ask it again whenever time has passed.
+
+    One that loses touch acts on for `KEEP` of `forget_s`. While it was in touch, nobody else who was in touch
+    with more than half held it gone for long: they have a member in common, which tells. So whoever proves it
+    gone does so `forget_s` later, less the time in which views become alike.
+    """
 
     def __init__(self) -> None:
         self.touched_at: float | None = None  # when it came into touch with more than half
+        self.lost_at: float | None = None
         self.asked_at = float("-inf")
 
     def held(self, table: Table, now: float, forget_s: float, window: float, pause_s: float) -> bool:
-        stood_still = now - self.asked_at > max(pause_s, forget_s / 4.0)
+        stood_still = now - self.asked_at > max(pause_s, KEEP * forget_s)
         self.asked_at = now
-        if not in_touch(table, now, forget_s):
-            self.touched_at = None
-            return False
-        if self.touched_at is None or stood_still:
-            self.touched_at = now
-        return now - self.touched_at >= WAIT * window
+        if in_touch(table, now, forget_s):
+            self.lost_at = None
+            if self.touched_at is None or stood_still:
+                self.touched_at = now
+        elif self.touched_at is not None:
+            self.lost_at = now if self.lost_at is None else self.lost_at
+            if stood_still or now - self.lost_at >= KEEP * forget_s:
+                self.touched_at = None
+        return self.touched_at is not None and now - self.touched_at >= WAIT * window
 
 
 def bounds(
-    table: Table, now: float, forget_s: float, window: float, alone: bool, leased: bool, since: float
+    table: Table, now: float, forget_s: float, probe_s: float, alone: bool, leased: bool, since: float
 ) -> Bounds:
     """`alone`: nobody answers this process. It woke `since` then. One that is held alive counts as there once
-    it has answered what was asked since, or once there was time to hear otherwise."""
+    it has answered what was asked since, or once there was time to hear otherwise; and for as long as it has
+    answered within `ROUNDS` of probes of those that are there."""
     talks = 1
     if not alone:
+        lately = max(LEAST_WINDOW_S, ROUNDS * probe_s * (len(table.there) + 1))
         for record in table.there.values():
             begun = max(record.since, since)
             heard = record.answered_at >= begun or now - begun >= HEARSAY_S
-            talks += record.state == State.ALIVE and heard
+            talks += record.state == State.ALIVE and heard and now - record.answered_at < lately
     most = counted(table, forget_s)
-    if not agreed(table, now, forget_s, window):
+    if not agreed(table, now, forget_s, window_s(table, probe_s)):
         most = max(most, table.fleet)
     return Bounds(talks, most, leased)
--- a/rushhitch/membership/detector.py
+++ b/rushhitch/membership/detector.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from rushhitch.membership.bounds import Lease, bounds, in_touch, window_s
+from rushhitch.membership.bounds import KEEP, Lease, bounds, in_touch, window_s
 from rushhitch.membership.messages import (
     Ack,
     Ask,
@@ -241,9 +241,9 @@
     def bounds(self, now: float) -> Bounds:
         """As of now: a process that stood still, and has not ticked since, holds no lease."""
         alone = self.alone(now) and len(self.table.records) > 1
-        window = window_s(self.table, self.tuning.probe_s)
-        leased = self.leased and now - self.ticked_at < self.tuning.forget_s / 4.0
-        return bounds(self.table, now, self.tuning.forget_s, window, alone, leased, self.woke_at)
+        leased = self.leased and now - self.ticked_at < KEEP * self.tuning.forget_s
+        words = (self.tuning.forget_s, self.tuning.probe_s)
+        return bounds(self.table, now, *words, alone, leased, self.woke_at)
 
     def alone(self, now: float, longer_s: float = 0.0) -> bool:
         """Whether nobody answers: then what is not heard is no news of others."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -338,6 +338,25 @@
     assert len(world.history.held) > 80 and len(world.history.bounds) > 300
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_long_storm_in_which_the_gone_are_given_up_keeps_the_bounds(seed):
+    world = storm(seed, seconds=120.0, tuning=Tuning(fleet=8, forget_s=60.0))
+    broken = [b for b in check(world.history, 8) if b.property in (4, 5)]
+    assert not broken, f"storm {seed}: " + "\n".join(map(str, broken[:5]))
+
+
+def test_a_half_acts_on_for_a_while_and_is_counted_all_that_time():
+    world = fleet_that_met(8, 1, buildings=2, tuning=Tuning(fleet=8, forget_s=60.0))
+    world.measure()
+    world.run(world.now + 8.0)
+    world.set_cut(lambda a, b: world.building[a] != world.building[b])
+    world.run(world.now + 12.0)
+    assert all(p.detector.bounds(p.now).leased for p in world.members.values())
+    world.run(world.now + 20.0)
+    assert not any(p.detector.bounds(p.now).leased for p in world.members.values())
+    assert not [b for b in check(world.close(), 8) if b.property == 5]
+
+
 def fleet_that_met(size, seed, **told):
     world = World(size, seed, **told)
     world.run(12.0)
