Budgets that members share: parts by the most that may act, lent in pairs for a lease

First part of shared state: the deciding code (rushhitch/sharing/) and its proof; no process uses it yet.

--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -16,6 +16,7 @@
     "rushhitch.cloudevents",
     "rushhitch.taker",
     "rushhitch.planning",
+    "rushhitch.sharing",
     "rushhitch.membership",
     "rushhitch.process",
     "rushhitch.config",
