A floor of each shared budget is a process's own from its start on, whatever it hears

Need: a dispatcher uses its part only after acting for 4.3 s, which membership grants after 6 s more, and nothing once its lease is lost; after a mass restart all would have waited 10 s. A question holds as many budgets as a datagram takes.

--- a/lab/sharing.py
+++ b/lab/sharing.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from lab.membership import Process, World
-from rushhitch.sharing.budgets import LOOK_S, Budgets
+from rushhitch.sharing.budgets import FLOOR, LOOK_S, Budgets
 from rushhitch.sharing.messages import Tell
 
 NAME, SIZE = "lane", 100.0
@@ -52,9 +52,10 @@
         seed: int,
         need: Callable[[str, float], float] | None = None,
         scheme: type[Budgets] = Budgets,
+        floor: float = FLOOR,
         **told: Any,
     ) -> None:
-        self.scheme = scheme
+        self.scheme, self.floor = scheme, floor
         self.sharers: dict[str, Budgets] = {}
         self.seen: list[Used] = []
         self.told = self.told_bytes = 0
@@ -68,7 +69,8 @@
     def start(self, name: str, wall_ms: int | None = None) -> None:
         super().start(name, wall_ms)
         process = self.members[name]
-        budgets = self.scheme(name, self.fleet, random.Random(self.chance.getrandbits(60)), process.now)
+        chance = random.Random(self.chance.getrandbits(60))
+        budgets = self.scheme(name, self.fleet, chance, process.now, self.floor)
         budgets.resize(NAME, SIZE)
         self.sharers[name] = budgets
         self.share(process, budgets)
--- a/lab/sharing_explorer.py
+++ b/lab/sharing_explorer.py
@@ -34,7 +34,7 @@
     needs: int = 0
 
     def start(self, name: str) -> None:
-        self.members[name] = Budgets(name, 3, First(), self.now)  # type: ignore[arg-type]
+        self.members[name] = Budgets(name, 3, First(), self.now, floor=0.0)  # type: ignore[arg-type]
         self.members[name].resize("x", SIZE)
 
     def act(self, sender: str, told: list) -> None:
--- a/rushhitch/sharing/budgets.py
+++ b/rushhitch/sharing/budgets.py
@@ -15,6 +15,9 @@
 
 Who stood still, or whose clock jumped, knows nothing of the time between: for `WAIT_S` it divides by the
 stated fleet as well, and what it lent is out for so much longer.
+
+A *floor*, a share of each budget, is set aside from all that: divided by the stated fleet it is each
+process's own from its start on, also where it hears nothing for ever, and is never lent.
 """
 
 from __future__ import annotations
@@ -25,7 +28,7 @@
 from dataclasses import dataclass, field
 
 from rushhitch.membership.view import Bounds
-from rushhitch.sharing.messages import MOST_BUDGETS, Lent, Tell, Wanted
+from rushhitch.sharing.messages import MOST_BUDGETS, MOST_BYTES, UNIT_BYTES, Lent, Tell, Wanted
 
 LEASE_S = 3.0  # what is borrowed holds so long from when it was asked for, by the borrower's clock
 SLACK_S = 0.5  # the lender counts it for so much longer, and for a part of the lease in which clocks differ
@@ -36,11 +39,24 @@
 REST_S = 2.0  # between two looks for more, where none had any: doubled up to that
 ANEW = 0.5  # of a lease: then it is asked for again
 SPARE = 1.1  # of its own need a lender keeps, so that it does not borrow the next moment
+FLOOR = 0.1  # of a budget, set aside unless told otherwise
 ENOUGH = 0.02  # of what it wants, which is too little to ask for
 LOAN_S = LEASE_S * (1.0 + DRIFT) + SLACK_S
 WAIT_S = LOAN_S + GAP_S
 
 
+def fitting(units: Mapping[str, float]) -> dict[str, float]:
+    """As many of them as one message takes."""
+    found: dict[str, float] = {}
+    room = MOST_BYTES
+    for name, wanted in units.items():
+        room -= len(name.encode()) + UNIT_BYTES
+        if room < 0 or len(found) >= MOST_BUDGETS:
+            break
+        found[name] = wanted
+    return found
+
+
 @dataclass(slots=True)
 class Loan:
     """What another may be using of this member's part, until then."""
@@ -78,9 +94,12 @@
     """One member's. `tick` every `LOOK_S`, `receive` what comes; both give what to tell. `usable` is asked at
     each use: what has run out since the last tick is not usable."""
 
-    def __init__(self, name: str, fleet: int, chance: random.Random, now: float) -> None:
-        """`fleet` is how many members operators run at most."""
-        self.name, self.fleet, self.chance = name, fleet, chance
+    def __init__(
+        self, name: str, fleet: int, chance: random.Random, now: float, floor: float = FLOOR
+    ) -> None:
+        """`fleet` is how many members operators run at most; `floor` a share of each budget, below 1, the
+        same for all of them."""
+        self.name, self.fleet, self.chance, self.floor_share = name, fleet, chance, floor
         self.budgets: dict[str, Budget] = {}
         self.counts: deque[tuple[float, int]] = deque()  # when it looked, and how many may have been acting
         self.looked_at = now
@@ -113,14 +132,20 @@
     def usable(self, name: str, now: float) -> float:
         """Units that this member may use now."""
         budget = self.budgets[name]
-        return max(self.part(budget, now) - budget.out(now), 0.0) + budget.held(now)
+        own = max(self.part(budget, now) - budget.out(now), 0.0)
+        return self.floor(budget) + own + budget.held(now)
+
+    def floor(self, budget: Budget) -> float:
+        """What is this process's, whatever it hears."""
+        return budget.size * self.floor_share / max(self.fleet, *(most for _, most in self.counts), 1)
 
     def part(self, budget: Budget, now: float) -> float:
         """Its own, lent or not; none while it does not act, or has not looked of late."""
         if self.acts_from is None or now - self.acts_from < WAIT_S or now - self.looked_at >= GAP_S:
             return 0.0
         most = max(count for at, count in self.counts if now - at <= WAIT_S)
-        return budget.size / max(most, self.fleet if now < self.blind_until else 1)
+        divided = budget.size * (1.0 - self.floor_share)
+        return divided / max(most, self.fleet if now < self.blind_until else 1)
 
     # Time and messages
 
@@ -171,7 +196,7 @@
             if budget is None:
                 found[name] = 0.0
                 continue
-            keeps = budget.need * SPARE
+            keeps = max(budget.need * SPARE - self.floor(budget), 0.0)
             left = self.part(budget, now) - budget.out(now, but=borrower) - keeps
             lends = max(min(units, left), 0.0)
             if lends > 0.0:
@@ -202,7 +227,7 @@
         for lender, units in wanted.items():
             self.number += 1
             self.asked[self.number] = (lender, now)
-            told.append(Tell(lender, Wanted(self.number, dict(list(units.items())[:MOST_BUDGETS]))))
+            told.append(Tell(lender, Wanted(self.number, fitting(units))))
         return told
 
     def lenders(self, now: float, peers: list[str], but: Mapping[str, object]) -> list[str]:
--- a/rushhitch/sharing/messages.py
+++ b/rushhitch/sharing/messages.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 
 MOST_BUDGETS = 64  # in one message: what has no room goes with the next
+MOST_BYTES = 1_200  # of names and units: below a datagram's limit
+UNIT_BYTES = 12  # of a budget in a message, beside its name
 MOST_NAME = 200  # characters
 MOST_UNITS = 1e12
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -15,9 +15,9 @@
 from rushhitch.sharing.messages import Lent, Wanted
 
 
-def member(name="a", fleet=4, size=100.0, until=10.0, most=4):
+def member(name="a", fleet=4, size=100.0, until=10.0, most=4, floor=0.0):
     """One that has acted since 0 s, as of `until`."""
-    budgets = Budgets(name, fleet, random.Random(1), 0.0)
+    budgets = Budgets(name, fleet, random.Random(1), 0.0, floor)
     budgets.resize("x", size)
     looks(budgets, 0.0, until, most)
     return budgets
@@ -31,7 +31,7 @@
 
 
 def test_a_part_is_the_budget_by_all_that_may_act_and_is_used_only_after_a_wait():
-    budgets = Budgets("a", 4, random.Random(1), 0.0)
+    budgets = Budgets("a", 4, random.Random(1), 0.0, floor=0.0)
     budgets.resize("x", 100.0)
     looks(budgets, 0.0, WAIT_S - LOOK_S)
     assert budgets.usable("x", WAIT_S - LOOK_S) == 0.0
@@ -139,6 +139,30 @@
     assert honest.budgets["x"].held(10.0) == 0.0, "more than there is, and an answer to nothing"
 
 
+def test_a_floor_is_each_process_s_own_from_its_start_on_and_never_lent():
+    newcomer = Budgets("a", 4, random.Random(1), 0.0, floor=0.2)
+    newcomer.resize("x", 100.0)
+    assert newcomer.usable("x", 0.0) == 5.0
+    looks(newcomer, 0.0, 10.0)
+    assert newcomer.usable("x", 10.0) == pytest.approx(25.0)
+    (told,) = newcomer.receive(10.0, "b", Wanted(1, {"x": 50.0}))
+    assert told.message.units == {"x": pytest.approx(20.0)}
+    assert newcomer.usable("x", 10.0) == pytest.approx(5.0)
+    looks(newcomer, 10.25, 20.0, leased=False)
+    assert newcomer.usable("x", 20.0) == 5.0 == newcomer.usable("x", 99.0)
+    looks(newcomer, 20.25, 30.0, most=10)
+    assert newcomer.usable("x", 30.0) == pytest.approx(10.0), "more than were stated"
+
+
+def test_a_question_has_as_many_budgets_as_a_datagram_takes():
+    borrower = Budgets("b", 4, random.Random(1), 0.0)
+    for number in range(100):
+        borrower.resize(f"{number:0190}", 10.0)
+        borrower.needs(f"{number:0190}", 10.0)
+    told = borrower.tick(10.0, Bounds(4, 4, True), ("a", "c"))
+    assert len(told) == 2 and all(1 <= len(tell.message.units) <= 6 for tell in told)
+
+
 def test_a_budget_that_is_forgotten_goes_when_its_loans_are_over():
     lender = member()
     lender.receive(10.0, "b", Wanted(1, {"x": 20.0}))
@@ -163,7 +187,7 @@
 def newest_count(self, budget, now):
     if self.acts_from is None or now - self.acts_from < WAIT_S or now - self.looked_at >= GAP_S:
         return 0.0
-    return budget.size / self.counts[-1][1]
+    return budget.size * (1.0 - self.floor_share) / self.counts[-1][1]
 
 
 WEAKER = {
@@ -243,7 +267,7 @@
 def no_wait(self, budget, now):
     if self.acts_from is None or now - self.looked_at >= GAP_S:
         return 0.0
-    return budget.size / max([3, *(count for _, count in self.counts)])
+    return budget.size * (1.0 - self.floor_share) / max([3, *(count for _, count in self.counts)])
 
 
 @pytest.mark.parametrize("weaker, by", [(newest_count, "leave"), (no_wait, "restart")])
