--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -32,12 +32,14 @@
         known: dict[str, Any] | None = None,
         member: bool = True,
         control: bool = False,
+        floor: float | None = None,
         every_s: float = POLL_S,
     ) -> None:
         self.folder, self.settings, self.seed, self.forget_s = folder, settings, seed, forget_s
         self.discovery = discovery
         self.known = known or {"version": 1, "full": True, "servers": []}
         self.member, self.control = member, control
+        self.floor = floor  # of budgets that are shared, where they are
         self.names = [f"d{number}" for number in range(size)]
         self.building = {name: "ab"[n % buildings] for n, name in enumerate(self.names)}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
@@ -84,7 +86,8 @@
             secret = self.folder / f"{name}.secret"
             secret.write_bytes(self.secrets[name])
         words = (str(secret), len(self.names), self.building[name], more)
-        return self.ways.toml(name, *words)
+        shared = f"[sharing]\nfloor = {self.floor}\n" if self.floor is not None else ""
+        return self.ways.toml(name, *words) + shared
 
     async def start(self, name: str) -> None:
         """Start its process, with the folder that it had."""
--- a/lab/ill.py
+++ b/lab/ill.py
@@ -6,6 +6,8 @@
     jump_s     the loop's clock goes forward by so many seconds, each time that the figure grows
     lag_s      each turn of the loop takes so long
     enobufs    each send of a datagram to another member fails
+    needs      by budget its size and what this process would use of it; what it may use is written, with
+               the machine's monotonic clock, to the file beside that ends in .used
     later      at the start only: messages and rows have fields that this build does not know
 """
 
@@ -23,8 +25,11 @@
 from rushhitch.__main__ import main
 from rushhitch.membership import server, wire
 from rushhitch.membership.messages import Ask, Message, Relayed, Row
+from rushhitch.sharing import server as sharing
+from rushhitch.sharing.messages import Tell
 
 LOOK_S = 0.05
+NOTE_S = 0.04
 LATER = {"of a later build": 1}
 
 
@@ -66,6 +71,32 @@
         self.loop.call_later(LOOK_S, self.look)
 
 
+class Needy(sharing.Sharing):
+    """Its needs are told by the file, and what it may use is recorded."""
+
+    def start(self) -> None:
+        self.record = Path(os.environ["RUSHHITCH_LAB_ILL"]).with_suffix(".used").open("a")
+        super().start()
+        self.note()
+
+    def note(self) -> None:
+        self.loop.call_later(NOTE_S, self.note)
+        for name, (size, need) in told().get("needs", {}).items():
+            self.part(name, size)
+            self.budgets.needs(name, need)
+        self.write()
+
+    def write(self) -> None:
+        for name, budget in self.budgets.budgets.items():
+            usable = self.budgets.usable(name, sharing.clock())
+            self.record.write(f"{time.monotonic():.6f} {name} {usable:.6f} {min(usable, budget.need):.6f}\n")
+        self.record.flush()
+
+    def tell(self, told: list[Tell]) -> None:
+        self.write()  # what is lent is not usable here from before the other hears of it
+        super().tell(told)
+
+
 def later_row(row: Row) -> list[Any]:
     return [*row, LATER]
 
@@ -90,5 +121,5 @@
         time.time = lambda: true_time() + off_s
     if at_start.get("later"):
         wire.encode, server.encode_rows = later_message, later_rows
-    server.Server = Ill  # type: ignore[misc]
+    server.Server, sharing.Sharing = Ill, Needy  # type: ignore[misc]
     sys.exit(main())
--- a/lab/run.py
+++ b/lab/run.py
@@ -160,7 +160,8 @@
                 self.members.began(name)
             elif name in self.members.lives:
                 self.members.ended(name, killed=True)
-        self.clients.serves(name, port, event_port)
+        if not self.scenario.handed or name in self.scenario.handed:
+            self.clients.serves(name, port, event_port)
         self.partners.bank.serves(name, event_port if port is not None else 0)
 
     def choose_addresses(self) -> None:
@@ -187,6 +188,7 @@
             secret.write_bytes(SECRET)
             words = (str(secret), len(self.names), self.building(dispatcher))
             member = self.member_ways.toml(dispatcher, *words)
+            member += "[sharing]\n" if self.scenario.sharing else ""
         path.write_text(self.toml(addresses) + member)
         return path
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -107,6 +107,8 @@
     dispatchers: int = 1
     planners: int = 0  # with some, the dispatchers are forwarders
     members: bool = False  # the dispatchers know of each other
+    sharing: bool = False  # and share limits that partners state
+    handed: tuple[str, ...] = ()  # the dispatchers that clients know of; all, if none is named
     buildings: int = 1  # that they stand in, by turns
     zones: tuple[str, ...] = ("a",)
     classes: list[ClassSpec] = field(default_factory=list)
@@ -175,6 +177,10 @@
             several = {"*", "a", "b"} if self.buildings > 1 else {"*"}
             ends = sorted(dispatchers | several)
             wanted["member_way"] = {f"{x}-{y}" for x in ends for y in ends} | dispatchers | {""}
+        if self.sharing and not self.members:
+            raise BadScenario("sharing = true needs members = true in the scenario")
+        if unknown := sorted(set(self.handed) - dispatchers):
+            raise BadScenario(f"handed: {unknown[0]!r}: use some of {', '.join(sorted(dispatchers))}")
         for fault in self.faults:
             if fault.what not in WHATS:
                 raise BadScenario(
--- a/rushhitch/cli.py
+++ b/rushhitch/cli.py
@@ -32,6 +32,9 @@
     members.add_argument("address", help="host:port of its [membership] listen")
     members.add_argument("--json", action="store_true", help="all that it tells, as one JSON object")
     members.add_argument("--watch", action="store_true", help="again every second, until interrupted")
+    shared = commands.add_parser("shared", help="budgets that a running dispatcher shares, and their holders")
+    shared.add_argument("address", help="host:port of its [membership] listen")
+    shared.add_argument("--json", action="store_true", help="all that it tells, as one JSON object")
     told = parser.parse_args(words)
     if told.command == "forward":
         return forward()
@@ -41,6 +44,10 @@
         from rushhitch.membership import show
 
         return show.main(told.address, told.json, told.watch)
+    if told.command == "shared":
+        from rushhitch.sharing import show as sharing
+
+        return sharing.main(told.address, told.json)
     return journal_command(told)
 
 
--- a/rushhitch/config/own.py
+++ b/rushhitch/config/own.py
@@ -90,6 +90,13 @@
     forget_s: float = 600.0  # one that is gone for so long counts no more
 
 
+@dataclass(frozen=True, slots=True)
+class Sharing:
+    """`[sharing]`: limits that partners state are divided among the members, by what each needs."""
+
+    floor: float = 0.1  # a share of each, divided by the stated fleet: a process's own, whatever it hears
+
+
 @dataclass(frozen=True, slots=True)
 class Own:
     """The settings of the file, by section and key; each has a default."""
@@ -103,6 +110,7 @@
     fall_multiple: float = 2.0
     events: Events | None = None  # [cloudevents], where it has `listen`
     membership: Membership | None = None  # [membership], where it has `listen`
+    sharing: Sharing | None = None  # [sharing], where the section is there
 
 
 def read_own(environ: Mapping[str, str]) -> Own:
@@ -155,6 +163,7 @@
             "fleet",
             "forget_s",
         },
+        "sharing": {"floor"},
     }
     for section, values in told.items():
         if section not in known:
@@ -174,7 +183,21 @@
     events = events_of(told.get("cloudevents", {}), text, name)
     member = membership_of(told.get("membership", {}), text, name)
     planning = planning_of(told.get("planning", {}), text, name)
-    return Own(sync, loop, **planning, events=events, membership=member)
+    sharing = None
+    if "sharing" in told:
+        sharing = sharing_of(told["sharing"], text, name)
+        if member is None or planning["planners"]:
+            remedy = "add [membership]" if member is None else "planners share limits: remove one of the two"
+            raise BadOwn(f"{name}:{line_of(text, 'sharing')}: [sharing] needs members, no planners: {remedy}")
+    return Own(sync, loop, **planning, events=events, membership=member, sharing=sharing)
+
+
+def sharing_of(told: dict[str, Any], text: str, name: str) -> Sharing:
+    floor = told.get("floor", Sharing().floor)
+    if isinstance(floor, bool) or not isinstance(floor, (int, float)) or not 0.01 <= floor <= 0.9:
+        place = f"{name}:{line_of(text, 'sharing', 'floor')}"
+        raise BadOwn(f"{place}: floor must be a share from 0.01 to 0.9, not {floor!r}")
+    return Sharing(float(floor))
 
 
 def choice_of(
--- a/rushhitch/core/limits.py
+++ b/rushhitch/core/limits.py
@@ -15,6 +15,11 @@
 STATED_MS = 1_000.0  # a partner's stated limit holds so long in the decision module, unless told again
 
 
+def budget_of(lane: int | str) -> str:
+    """The name of a lane's limit among dispatchers."""
+    return f"lane {lane}"
+
+
 class Limits:
     """`dispatchers` is how many share a stated limit; `held` tells what is held by destination."""
 
@@ -26,7 +31,8 @@
     ) -> None:
         self.dispatchers, self.note, self.held = dispatchers, note, held
         self.loop = asyncio.get_running_loop()
-        self.counts: LaneCounts | None = None  # for reports, where there are planners
+        self.counts: LaneCounts | None = None  # for reports, where there are planners, or budgets are shared
+        self.shared: Callable[[str, float], float] | None = None  # of a stated limit, this dispatcher's part
         self.stating = False  # partners may state limits: grants are kept, to be told beside them
         self.stated: dict[int | str, float] = {}  # calls a second that partners state, by lane
         self.granted: dict[int | str, tuple[float, Allowance]] = {}  # by lane: until when it holds
@@ -46,6 +52,20 @@
             self.granted[lane] = (self.loop.time() + allowance.for_ms / 1000.0, allowance)
         self.allow(lane, allowance)
 
+    def part(self, lane: int | str, per_s: float) -> float:
+        if self.shared is None:
+            return per_s / self.dispatchers
+        return self.shared(budget_of(lane), per_s)
+
+    def needs(self, elapsed_s: float) -> list[tuple[str, float]]:
+        """Calls a second that it would make, by budget, as of the call before."""
+        found = []
+        for report in self.collect(elapsed_s * 1000.0):
+            lane = self.counts.lane_of(report.lane) if self.counts is not None else None
+            if lane is not None:
+                found.append((budget_of(lane), report.demand))
+        return found
+
     def allow(self, lane: int | str, allowance: Allowance) -> None:
         """Pass an allowance on, or the limit that the partner states where that is lower: then moments that
         were dealt for the higher one do not count."""
@@ -61,7 +81,7 @@
         """Limits in calls a second that partners state, by lane: to all dispatchers together, so each keeps
         to its part. The decision module hears of them as of planners' grants, which run out after a second:
         call it more often."""
-        self.stated = {lane: per_s / self.dispatchers for lane, per_s in rates.items()}
+        self.stated = {lane: self.part(lane, per_s) for lane, per_s in rates.items()}
         now = self.loop.time()
         self.granted = {lane: held for lane, held in self.granted.items() if held[0] > now}
         for lane, per_s in self.stated.items():
--- a/rushhitch/membership/server.py
+++ b/rushhitch/membership/server.py
@@ -12,7 +12,7 @@
 import random
 import socket
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
@@ -26,6 +26,8 @@
     HELLO,
     MOST_DATAGRAM,
     Bad,
+    Carried,
+    Kind,
     Role,
     Sessions,
     Stream,
@@ -72,6 +74,8 @@
         self.streams: set[asyncio.Task[None]] = set()
         self.unproved: dict[asyncio.Task[None], None] = {}  # who has shown no secret yet
         self.subscribers: list[Subscriber] = []
+        self.carried: Callable[[str, bytes], None] | None = None  # takes what other users of it send
+        self.shared: Callable[[], dict[str, Any]] | None = None  # what `shared` shows
         self.deaf = False
         self.read_until, self.reading_s = self.loop.time(), 0.0  # processor time of this tick's reading
         self.sent = self.sent_bytes = self.came = self.came_bytes = self.send_errors = 0
@@ -122,6 +126,13 @@
     def subscribe(self, heard: Subscriber) -> None:
         self.subscribers.append(heard)
 
+    def carry(self, name: str, payload: bytes) -> None:
+        """Send that to the member of the name, for its user there. It may be lost, and comes once at most."""
+        record = self.detector.table.records.get(name)
+        if record is not None:
+            data = self.sessions.datagram(Kind.SHARED, record.row.process, payload)
+            self.put(data, (record.row.host, record.row.port))
+
     # Time and datagrams
 
     def tick(self) -> None:
@@ -169,9 +180,18 @@
             message, back = self.sessions.open(data, source)
             for answer in back:
                 self.put(answer, source)
-            if message is not None:
+            if isinstance(message, Carried):
+                self.pass_on(message)
+            elif message is not None:
                 self.act(self.detector.receive(now, message))
 
+    def pass_on(self, message: Carried) -> None:
+        """To this process's user of the membership, where the sender is a member that is held here."""
+        for record in self.detector.table.there.values():
+            if record.row.process == message.process and self.carried is not None:
+                self.carried(record.row.name, message.payload)
+                return
+
     def act(self, outputs: Iterable[Output]) -> None:
         for output in outputs:
             match output:
@@ -248,6 +268,9 @@
                 self.unproved.pop(task, None)
                 if stream.role is Role.SHOW:
                     writer.write(stream.sealed(json.dumps(self.report()).encode()))
+                elif stream.role is Role.SHARED:
+                    told = self.shared() if self.shared is not None else {}
+                    writer.write(stream.sealed(json.dumps(told).encode()))
                 else:
                     writer.write(stream.sealed(self.rows()))
                     self.act(self.detector.merge(self.loop.time(), decode_rows(payload)))
--- a/rushhitch/membership/show.py
+++ b/rushhitch/membership/show.py
@@ -7,6 +7,7 @@
 import os
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 from rushhitch.config.own import BadOwn, Membership, address_of, read_own
@@ -17,11 +18,11 @@
 WATCH_S = 1.0
 
 
-async def fetch(address: tuple[str, int], secret: bytes) -> dict[str, Any]:
+async def fetch(address: tuple[str, int], secret: bytes, role: Role = Role.SHOW) -> dict[str, Any]:
     """What it tells. Raises `OSError`, `TimeoutError` or `WireError` where it cannot be had."""
     async with asyncio.timeout(PATIENCE_S):
         process = int.from_bytes(os.urandom(8), "big")
-        return json.loads(await call(address, Role.SHOW, process, secret, b""))
+        return json.loads(await call(address, role, process, secret, b""))
 
 
 def table(told: dict[str, Any]) -> str:
@@ -31,10 +32,6 @@
         way = "itself" if row["name"] == told["name"] else "by others only" if row["one_way"] else ""
         since, incarnation = f"{row['for_s']:.0f}", str(row["incarnation"])
         rows.append((row["name"], row["state"], since, row["building"], incarnation, row["address"], way))
-    widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
-    lines = [
-        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip() for row in rows
-    ]
     flags = [what for what in ("alone", "displaced") if told[what]]
     flags += [] if told["leased"] else ["out of touch with half of them"]
     head = (
@@ -43,20 +40,36 @@
         f"{told['sent_per_s']:.1f} datagrams and {told['sent_bytes_per_s']:.0f} bytes a second sent, "
         f"{told['received_per_s']:.1f} and {told['received_bytes_per_s']:.0f} received"
     )
-    return "\n".join([head, *(f"  {flag}" for flag in flags), *lines])
+    return "\n".join([head, *(f"  {flag}" for flag in flags), *columns(rows)])
+
+
+def columns(rows: list[tuple[str, ...]]) -> list[str]:
+    widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip() for row in rows
+    ]
 
 
-def main(word: str, as_json: bool, watch: bool) -> int:
-    """0 where it was told, 2 where it could not be had."""
+def main(
+    word: str,
+    as_json: bool,
+    watch: bool,
+    command: str = "members",
+    role: Role = Role.SHOW,
+    shown: Callable[[dict[str, Any]], str] = table,
+) -> int:
+    """The command, which shows what a stream of that role tells. 0 where it was told, 2 where it could not be
+    had."""
     try:
         own = read_own(os.environ).membership
         if own is None:
-            raise BadOwn("members needs [membership] in deploy/rushhitch.toml: its secret_file is the way in")
+            needs = "[membership] in deploy/rushhitch.toml: its secret_file is the way in"
+            raise BadOwn(f"{command} needs {needs}")
         if (address := address_of(word)) is None:
-            raise BadOwn(f"members {word}: write host:port, the [membership] listen of a dispatcher")
+            raise BadOwn(f"{command} {word}: write host:port, the [membership] listen of a dispatcher")
         while True:
-            told = ask(own, address)
-            print(json.dumps(told) if as_json else table(told), flush=True)
+            told = ask(own, address, role)
+            print(json.dumps(told) if as_json else shown(told), flush=True)
             if not watch:
                 return 0
             time.sleep(WATCH_S)
@@ -67,8 +80,8 @@
         return 0
 
 
-def ask(own: Membership, address: tuple[str, int]) -> dict[str, Any]:
+def ask(own: Membership, address: tuple[str, int], role: Role) -> dict[str, Any]:
     try:
-        return asyncio.run(fetch(address, own.secret))
+        return asyncio.run(fetch(address, own.secret, role))
     except (OSError, TimeoutError, WireError) as error:
         raise BadOwn(f"no answer from {address[0]}:{address[1]}: {error!r}") from None
--- a/rushhitch/membership/wire.py
+++ b/rushhitch/membership/wire.py
@@ -45,6 +45,7 @@
     DATA = 1
     WHO = 2
     HERE = 3
+    SHARED = 4  # what users of the membership tell each other: `rushhitch.sharing`
 
 
 class Role(enum.IntEnum):
@@ -52,6 +53,7 @@
 
     MEMBER = 1
     SHOW = 2
+    SHARED = 3
 
 
 class WireError(ValueError):
@@ -174,6 +176,14 @@
     return hmac.digest(secret, b"rushhitch membership 1", "sha256")
 
 
+@dataclass(frozen=True, slots=True)
+class Carried:
+    """A payload of a user of the membership, and the process that sent it."""
+
+    process: int
+    payload: bytes
+
+
 @dataclass(slots=True)
 class Numbers:
     """Which of a sender's numbers have come."""
@@ -234,7 +244,9 @@
             self.there.popitem(last=False)
         return process
 
-    def open(self, data: bytes, source: tuple[str, int]) -> tuple[Message | None, list[bytes]]:
+    def open(
+        self, data: bytes, source: tuple[str, int]
+    ) -> tuple[Message | Carried | None, list[bytes]]:
         """The message that came, if one did, and what to send back to the source. Nothing is raised: what
         makes no sense is counted in `bad`."""
         if not HEAD.size + MAC <= len(data) <= MOST_DATAGRAM:
@@ -244,7 +256,7 @@
             return self.drop(Bad.FORM)
         if version != VERSION:
             return self.drop(Bad.VERSION)
-        if receiver != self.process and kind == Kind.HERE:
+        if receiver != self.process and kind in (Kind.HERE, Kind.SHARED):
             return self.drop(Bad.OLD)  # before the costly check: nobody outside knows the process's number
         if not hmac.compare_digest(data[-MAC:], hmac.digest(self.key, data[:-MAC], "sha256")[:MAC]):
             return self.drop(Bad.SECRET)
@@ -254,10 +266,12 @@
             return None, [self.datagram(Kind.HERE, sender, number=number)]
         if kind == Kind.HERE:
             return self.here(source, sender, number)
-        if kind != Kind.DATA:
+        if kind not in (Kind.DATA, Kind.SHARED):
             return self.drop(Bad.FORM)
         if not self.fresh(sender, number):
             return self.drop(Bad.OLD)
+        if kind == Kind.SHARED:
+            return Carried(sender, data[HEAD.size : -MAC]), []
         try:
             message = decode(data[HEAD.size : -MAC])
         except WireError:
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -49,6 +49,7 @@
     from rushhitch.membership.server import Server as Member
     from rushhitch.partners.handshake import Handshake
     from rushhitch.planning.client import PlannerClient
+    from rushhitch.sharing.server import Sharing
 
 log = logging.getLogger("rushhitch")
 
@@ -151,6 +152,7 @@
             desk.own(operators),
         )
         self.member = make_member(configuration, inheritance.told)
+        self.sharing = make_sharing(node, configuration, self.member)
         self.handing.more = self.hand_membership
         self.reloading: asyncio.Task[None] | None = None
         self.sizing: asyncio.TimerHandle | None = None
@@ -174,6 +176,8 @@
             except OSError as error:
                 raise BadConfiguration(f"[membership] listen: {error}") from None
             self.size()
+        if self.sharing is not None:
+            self.sharing.start()
         self.reloading = self.loop.create_task(reload(changed, configuration, node, self.kept, self.platform))
         listeners = self.inheritance.listeners
         try:
@@ -228,6 +232,8 @@
             return {}
         if self.sizing is not None:
             self.sizing.cancel()
+        if self.sharing is not None:
+            self.sharing.stop()
         self.member.stop(leave=False)
         return {"incarnation": self.member.detector.table.own.incarnation}
 
@@ -272,6 +278,8 @@
             self.reloading.cancel()
         if self.sizing is not None:
             self.sizing.cancel()
+        if self.sharing is not None:
+            self.sharing.stop()
         if self.member is not None:
             self.member.stop()
         self.handover.stop()
@@ -304,6 +312,19 @@
     return Server(named, fleet, int((told or {}).get("incarnation", 0)), configuration.state)
 
 
+def make_sharing(node: Node, configuration: Configuration, member: Member | None) -> Sharing | None:
+    """This dispatcher's part of the limits that partners state, where members share them."""
+    if (told := configuration.own.sharing) is None or member is None:
+        return None
+    from rushhitch.sharing import server  # with its library: only where it is on
+
+    node.limits.counts = LaneCounts([cls.worth for cls in configuration.settings.classes])
+    name, fleet = member.told.name, member.detector.table.fleet
+    sharing = server.Sharing(name, fleet, told.floor, member, node.limits.needs)
+    node.limits.shared = sharing.part
+    return sharing
+
+
 def codecs(own: Own) -> dict[int, Codec]:
     """What destinations speak that do not speak the platform's protocol."""
     if own.events is None or not own.events.partners:
--- /dev/null
+++ b/rushhitch/sharing/server.py
@@ -0,0 +1,141 @@
+"""The shell round the budgets of one dispatcher: a timer, and membership's datagrams. It decides nothing.
+
+Imported only where `[sharing]` is set.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from rushhitch.membership.view import Bounds, Seen, State
+from rushhitch.sharing.budgets import LOOK_S, Budgets
+from rushhitch.sharing.messages import Tell
+from rushhitch.sharing.wire import decode, encode
+
+log = logging.getLogger(__name__)
+
+FORGET_S = 30.0  # a budget of which nobody asked for so long is forgotten
+TOLD_S = 10.0  # between two lines on messages that cannot be read
+
+
+class Carrier(Protocol):
+    """What is needed of membership beside its `View`."""
+
+    carried: Callable[[str, bytes], None] | None
+    shared: Callable[[], dict[str, Any]] | None
+
+    def members(self, now: float) -> list[Seen]: ...
+
+    def bounds(self, now: float) -> Bounds: ...
+
+    def carry(self, name: str, payload: bytes) -> None:
+        """Send it to the member of that name; it may be lost, and comes once at most."""
+
+
+def clock() -> float:
+    """Seconds that also pass while the machine sleeps, where the system can tell: a lease ends by it."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) if hasattr(time, "CLOCK_BOOTTIME") else time.monotonic()
+
+
+class Sharing:
+    """One dispatcher's budgets. `needs` gives what it would use of each, by name, since the call before."""
+
+    def __init__(
+        self,
+        name: str,
+        fleet: int,
+        floor: float,
+        member: Carrier,
+        needs: Callable[[float], Iterable[tuple[str, float]]],
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.member, self.needs, self.name = member, needs, name
+        self.budgets = Budgets(name, fleet, random.Random(os.urandom(16)), clock(), floor)
+        self.asked_at: dict[str, float] = {}  # by budget: when a part of it was last asked for
+        self.ticked_at = clock()
+        self.timer: asyncio.TimerHandle | None = None
+        self.told = self.bad = 0
+        self.bad_told_at = clock()
+        member.carried, member.shared = self.receive, self.report
+
+    def start(self) -> None:
+        self.tick()
+
+    def stop(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.member.carried = self.member.shared = None
+
+    def part(self, name: str, size: float) -> float:
+        """Of a budget of that size, the units that this dispatcher may use now."""
+        now = clock()
+        self.asked_at[name] = now
+        self.budgets.resize(name, size)
+        return self.budgets.usable(name, now)
+
+    def tick(self) -> None:
+        self.timer = self.loop.call_later(LOOK_S, self.tick)
+        now = clock()
+        elapsed, self.ticked_at = now - self.ticked_at, now
+        for name, need in self.needs(elapsed):
+            if name in self.budgets.budgets:
+                self.budgets.needs(name, need)
+        for name in [name for name, at in self.asked_at.items() if now - at >= FORGET_S]:
+            del self.asked_at[name]
+            self.budgets.forget(name)
+        seen = self.member.members(self.loop.time())
+        peers = [one.name for one in seen if one.state == State.ALIVE and one.name != self.name]
+        self.tell(self.budgets.tick(now, self.member.bounds(self.loop.time()), peers))
+
+    def receive(self, sender: str, payload: bytes) -> None:
+        try:
+            message = decode(payload)
+        except ValueError as error:
+            self.bad += 1
+            if clock() - self.bad_told_at >= TOLD_S:
+                self.bad_told_at = clock()
+                words = (self.bad, sender, error)
+                log.warning("%d messages on budgets cannot be read, the last of %s: %s", *words)
+            return
+        self.tell(self.budgets.receive(clock(), sender, message))
+
+    def tell(self, told: list[Tell]) -> None:
+        for one in told:
+            self.told += 1
+            self.member.carry(one.to, encode(one.message))
+
+    def report(self) -> dict[str, Any]:
+        """What `shared` shows: units, and times in seconds."""
+        now, budgets = clock(), self.budgets
+        return {
+            "name": self.name,
+            "messages": self.told,
+            "unreadable": self.bad,
+            "budgets": {
+                name: {
+                    "size": budget.size,
+                    "need": round(budget.need, 3),
+                    "floor": round(budgets.floor(budget), 3),
+                    "part": round(budgets.part(budget, now), 3),
+                    "usable": round(budgets.usable(name, now), 3),
+                    "lent": {
+                        to: {
+                            "units": round(max(loan.units for loan in loans), 3),
+                            "for_s": round(max(loan.until for loan in loans) - now, 2),
+                        }
+                        for to, loans in budget.lent.items()
+                    },
+                    "borrowed": {
+                        of: {"units": round(units, 3), "for_s": round(end - now, 2)}
+                        for of, (_, units, end) in budget.borrowed.items()
+                    },
+                }
+                for name, budget in sorted(budgets.budgets.items())
+            },
+        }
--- a/tests/test_partners_handshake.py
+++ b/tests/test_partners_handshake.py
@@ -308,3 +308,20 @@
         made.node.limits.dispatchers = 4
         made.node.limits.state_limits({7: 4.0})
         assert notes[0].per_s == 1.0
+
+
+def test_a_stated_rate_is_a_budget_where_members_share_them(tmp_path):
+    @gated(tmp_path)
+    async def _(made):
+        notes, asked, limits = [], [], made.node.limits
+        made.gate.tasks[1].cancel()
+        limits.note = notes.append
+        limits.counts = LaneCounts([1.0])
+        limits.counts.place("e1", 7, False)
+        limits.shared = lambda name, per_s: asked.append((name, per_s)) or 3.0
+        limits.state_limits({7: 4.0})
+        assert notes[0].per_s == 3.0 and asked == [("lane 7", 4.0)]
+        for _ in range(5):
+            limits.counts.arrived(7)
+        ((name, need),) = limits.needs(0.5)
+        assert name == "lane 7" and need > 0.0
