--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -85,7 +85,7 @@
         (
             "# a\n\n[jurnal]\nsync = 1\n",
             "x:3: [jurnal] is not a section: remove it, or use one of cloudevents, journal, "
-            "membership, planning, process",
+            "membership, planning, process, sharing",
         ),
         ('[journal]\n\nsink = "none"\n', "x:3: sink is no key of [journal]: remove it, or use sync"),
         ("journal = 3\n", "x:1: journal must be a section: write [journal] above its keys"),
