A clock that jumps ends no wait before acting; bounds are looked at before each fault

Lease.held (bounds.py) took a gap of less than 150 s for a pause of one that acts. One that waits begins anew after each gap of 0.5 s now; the budgets' wait had the same fault. Both have a test that fails without.

--- a/lab/membership.py
+++ b/lab/membership.py
@@ -152,8 +152,7 @@
     def kill(self, name: str) -> None:
         process = self.members.get(name)
         if process is not None and process.running:
-            if self.measuring:
-                self.note_bounds()  # it may have gone on since the last look
+            self.note_bounds()
             process.running = False
             process.life.end, process.life.killed = self.now, True
 
@@ -173,6 +172,7 @@
         process = self.members.get(name)
         if process is None or not process.running:
             return
+        self.note_bounds()
         process.still_until = max(process.still_until, self.now + seconds)
         process.life.still.append((self.now, self.now + seconds))
 
@@ -246,6 +246,7 @@
 
     def set_cut(self, cut: Callable[[str, str], bool]) -> None:
         """The ways from one to another that carry nothing, from now on."""
+        self.note_bounds()
         self.cut = cut
         names = list(self.ports)
         groups = both_ways(names, cut)
@@ -279,6 +280,10 @@
         self.at(self.now + every, lambda: self.measure(every))
 
     def note_bounds(self) -> None:
+        """Where they are measured: at each look, and before each fault. What could be reached until then may
+        have been so only since the last look."""
+        if not self.measuring:
+            return
         for process in list(self.members.values()):
             if process.running and self.now >= process.still_until:
                 self.bound(process)
--- a/rushhitch/membership/bounds.py
+++ b/rushhitch/membership/bounds.py
@@ -62,10 +62,12 @@
         self.touched_at: float | None = None  # when it came into touch with more than half
         self.lost_at: float | None = None
         self.asked_at = float("-inf")
+        self.holds = False
 
     def held(self, table: Table, now: float, forget_s: float, window: float, pause_s: float) -> bool:
-        stood_still = now - self.asked_at > max(pause_s, KEEP * forget_s)
-        self.asked_at = now
+        gap, self.asked_at = now - self.asked_at, now
+        # Who waits has not waited while it stood still, or while its clock jumped.
+        stood_still = gap > (max(pause_s, KEEP * forget_s) if self.holds else pause_s)
         if in_touch(table, now, forget_s):
             self.lost_at = None
             if self.touched_at is None or stood_still:
@@ -74,7 +76,8 @@
             self.lost_at = now if self.lost_at is None else self.lost_at
             if stood_still or now - self.lost_at >= KEEP * forget_s:
                 self.touched_at = None
-        return self.touched_at is not None and now - self.touched_at >= WAIT * window
+        self.holds = self.touched_at is not None and now - self.touched_at >= WAIT * window
+        return self.holds
 
 
 def bounds(
--- a/rushhitch/sharing/budgets.py
+++ b/rushhitch/sharing/budgets.py
@@ -164,6 +164,8 @@
         self.looked_at = now
         if gap >= GAP_S:
             self.blind_until = now + WAIT_S
+            if self.acts_from is not None and now - gap - self.acts_from < WAIT_S:
+                self.acts_from += gap  # who waits has not waited in that time
             for budget in self.budgets.values():
                 for loans in budget.lent.values():
                     for loan in loans:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,6 +12,7 @@
 from lab.membership import Bound, Held, History, Life, World, storm
 from lab.membership_explorer import explore, met
 from lab.membership_rules import check, t2_s
+from rushhitch.membership.bounds import Lease
 from rushhitch.membership.detector import LATE_S, MOST_ILL, Detector, Tuning
 from rushhitch.membership.messages import Ack, Ask, Exchange, Ping, Relayed, Row, Send, Warn
 from rushhitch.membership.table import Merged, Table
@@ -345,6 +346,20 @@
     assert not broken, f"storm {seed}: " + "\n".join(map(str, broken[:5]))
 
 
+def test_a_clock_that_jumps_ends_no_wait_before_acting():
+    # Storm 1245: a newcomer's clock leapt over the rest of its wait, and it acted before all counted it.
+    waits, holds = Lease(), Lease()
+    table = member().table
+    for record in table.there.values():
+        record.answered_at = 50.0
+    for step in range(20):
+        waits.held(table, 50.0 + step / 10.0, 600.0, 4.0, 0.5)
+    assert not waits.held(table, 82.0, 600.0, 4.0, 0.5)
+    for step in range(70):
+        holds.held(table, 50.0 + step / 10.0, 600.0, 4.0, 0.5)
+    assert holds.held(table, 82.0, 600.0, 4.0, 0.5), "others count it through a pause"
+
+
 def test_a_half_acts_on_for_a_while_and_is_counted_all_that_time():
     world = fleet_that_met(8, 1, buildings=2, tuning=Tuning(fleet=8, forget_s=60.0))
     world.measure()
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -125,6 +125,16 @@
     assert lender.usable("x", 45.0) == 25.0
 
 
+def test_a_clock_that_jumps_ends_no_wait():
+    newcomer = Budgets("a", 4, random.Random(1), 0.0, floor=0.0)
+    newcomer.resize("x", 100.0)
+    looks(newcomer, 0.0, 1.0)
+    looks(newcomer, 31.0, 31.0 + WAIT_S - 1.25)
+    assert newcomer.usable("x", 31.0 + WAIT_S - 1.25) == 0.0
+    looks(newcomer, 31.0 + WAIT_S - 1.0, 31.0 + WAIT_S)
+    assert newcomer.usable("x", 31.0 + WAIT_S) == 25.0
+
+
 def test_a_liar_gets_what_is_spare_and_cannot_make_rights():
     honest = member()
     honest.needs("x", 20.0)
