--- a/lab/member_cases.py
+++ b/lab/member_cases.py
@@ -112,7 +112,7 @@
 
 
 async def halves(fleet: MemberFleet, lasts: float) -> None:
-    """With a kill and a start on either side, and a leave of which the other side hears nothing."""
+    """With a kill and a start on either side; of a leave and a join the other side hears nothing."""
     one, other = ([name for name in fleet.names if fleet.building[name] == b] for b in "ab")
     begun = fleet.now
     fleet.watch.strike(cut(lambda a, b: fleet.building[a] != fleet.building[b]))
@@ -131,7 +131,12 @@
     must(fleet.states(other[0])[one[1]] == "gone", "a leave was heard through a cut")
     bounds = {by: fleet.reports[by]["most"] for by in other}
     must(set(bounds.values()) == {len(fleet.names)}, f"the half that heard of no leave counts {bounds}")
-    await fleet.start(one[1])
+    fleet.names.append("new")  # in the place of the one that left
+    fleet.building["new"], fleet.logs["new"] = "a", []
+    await fleet.ways.add("new")
+    await fleet.start("new")
+    await fleet.until(lambda: fleet.states(one[0]).get("new") == "alive", FOUND_S)
+    must("new" not in fleet.states(other[0]), "a join was heard through a cut")
     await asyncio.sleep(max(begun + lasts - fleet.now, 0.0))
     fleet.watch.strike(healed)
     await fleet.until(fleet.all_there, HEALED_S)
--- a/tests/test_membership_wire.py
+++ b/tests/test_membership_wire.py
@@ -1,5 +1,6 @@
 """Members' datagrams and streams: what is forged, replayed, cut off or of another build changes nothing."""
 
+import asyncio
 import struct
 import subprocess
 import sys
@@ -9,8 +10,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rushhitch.config.own import BadOwn, parse_own
+from rushhitch.config.own import BadOwn, Membership, parse_own
 from rushhitch.membership.messages import Ack, Ask, Ping, Relayed, Row, Send, Vouch
+from rushhitch.membership.server import Server
 from rushhitch.membership.wire import (
     HEAD,
     MOST_DATAGRAM,
@@ -222,6 +224,20 @@
     assert done.stdout.strip() == "[]", done.stdout + done.stderr
 
 
+def test_what_is_dropped_is_told_in_one_line_each_ten_seconds_with_the_count(caplog):
+    async def work():
+        address = ("127.0.0.1", 7101)
+        server = Server(Membership("a", address, address, (), SECRET), 3)
+        begun = server.bad_told_at
+        for tenth in range(151):
+            server.sessions.open(bytes(80), address)
+            server.tell_bad(begun + tenth / 10.0)
+
+    asyncio.run(work())
+    (line,) = [record.getMessage() for record in caplog.records if "dropped" in record.getMessage()]
+    assert line.startswith("101 datagrams were dropped since the start")
+
+
 # Settings
 
 
