A message's key of repeats and its tenant are carried along, to the endpoint and over a restart

At fault: parse_offer in fronts/resp2.py read c, d, dest and r and dropped the rest; partners/platform.py wrote "-" as every message's key; core/node.py left the tenant at 0, so that all messages counted against the first tenant's allowance.

--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -77,6 +77,7 @@
         self.loop = asyncio.get_running_loop()
         self.endpoints = Endpoints(settings, self.attempt_ended, self.dropped, connections, self.withdrawn)
         self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
+        self.tenants = {tenant.name: position for position, tenant in enumerate(settings.tenants)}
         self.history = history or History()  # of settings: what messages were taken under
         self.figures = Figures(self.classes)
         self.bans = bans  # endpoints that operators took out
@@ -124,6 +125,7 @@
         self.settings, self.history = settings, history
         self.limits.dispatchers = settings.dispatchers
         self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
+        self.tenants = {tenant.name: position for position, tenant in enumerate(settings.tenants)}
         self.figures.named(self.classes)
         self.endpoints.settings = settings
         self.note(api.Reconfigured(settings))
@@ -145,6 +147,10 @@
             raise BadRequest(f"unknown class {offer.cls[:40]!r}")
         if offer.left_ms > (most := self.settings.classes[self.classes[offer.cls]].deadline_ms):
             raise BadRequest(f"d must be at most {most:g} for class {offer.cls}, not {offer.left_ms:g}")
+        if not self.tenants:
+            offer = replace(offer, tenant="")
+        elif offer.tenant and offer.tenant not in self.tenants:
+            raise BadRequest(f"unknown tenant {offer.tenant[:40]!r}")
         if offer.destination not in self.listing.destinations:
             raise BadRequest(f"unknown destination {offer.destination}")
         if held := self.by_id.get(offer.id):
@@ -157,7 +163,7 @@
         if offer.remember and (end := self.ended.get(offer.id, time.time())) is not None:
             answer(end)
             return 0
-        size = len(offer.body) + len(offer.attributes)
+        size = len(offer.body) + len(offer.attributes) + len(offer.tenant) + len(offer.idempotency)
         if self.sinks is not None and self.sinks.named(offer.attributes):
             size += RECORD_ROOM + self.sinks.room  # of the message that tells its end
         room = self.fresh_bytes + size
@@ -181,6 +187,8 @@
             taken_at=time.time(),
             remember=offer.remember,
             attributes=offer.attributes,
+            tenant=offer.tenant,
+            idempotency=offer.idempotency,
         )
         message = self.enter(kept, answer)
         if ended is not None:
@@ -195,12 +203,17 @@
                 self.classes[offer.cls],
                 offer.destination,
                 offer.left_ms,
+                self.tenant(offer.tenant),
                 key=offer.key,
                 again=offer.again,
             )
         )
         return message.number
 
+    def tenant(self, name: str) -> int:
+        """The tenant's position; past the last one for a message that names none, which has no allowance."""
+        return self.tenants.get(name, len(self.settings.tenants))
+
     def enter(self, kept: Kept, answer: Answer | None = None) -> Message:
         due = self.loop.time() + max(kept.deadline - time.time(), 0.0)
         message = Message(kept.number, kept, kept.attempts, due, answer)
@@ -286,6 +299,7 @@
                 self.classes.get(kept.cls, 0),
                 kept.destination,
                 max((kept.deadline - now) * 1000.0, 0.0),
+                self.tenant(kept.tenant),
                 key=kept.key,
                 again=kept.again,
                 attempts=kept.attempts,
@@ -519,6 +533,7 @@
                         kept.cls,
                         kept.attributes,
                         kept.deadline,
+                        kept.idempotency,
                     )
                 )
             case api.Fail(number):
--- a/rushhitch/fronts/resp2.py
+++ b/rushhitch/fronts/resp2.py
@@ -12,6 +12,7 @@
 NOTHING = object()  # what the reader gives while no request is complete
 MOST_LINE = 16  # bytes of a line that tells a length
 MOST_KEY = 32  # digits of a key of order
+IDEMPOTENCY = re.compile(rb"[!-~]{0,%d}" % MOST_ID)
 BURST = 32  # requests of one connection that are served, or without their answers, at once
 REST_S = 0.005  # before the further ones
 TURNED_AWAY_S = 0.1  # before anything more is read of one that was turned away
@@ -51,6 +52,9 @@
     for wanted in ("c", "d", "dest"):
         if wanted not in told:
             raise BadRequest(f"the field {wanted} is missing")
+    idempotency = told.get("k", "").encode("latin-1")
+    if not IDEMPOTENCY.fullmatch(idempotency):
+        raise BadRequest(f"k must be up to {MOST_ID} printable characters without spaces")
     return Offer(
         name,
         told["c"],
@@ -59,6 +63,8 @@
         body,
         int(key, 16),
         told.get("r") == "1",
+        tenant=told.get("t", ""),
+        idempotency=idempotency,
     )
 
 
--- a/rushhitch/journal/format.py
+++ b/rushhitch/journal/format.py
@@ -75,6 +75,8 @@
     attributes: bytes = b""  # of an event, a JSON object
     handed: int | None = None  # the attempt that was answered, of which an acknowledgement is to come
     marks: list[bytes] = field(default_factory=list)  # of acknowledgements by which an attempt never ran
+    tenant: str = ""
+    idempotency: bytes = b""  # the key by which its endpoint knows a repeat
     home: Any = field(
         default=None, compare=False, repr=False
     )  # segment of its newest `MESSAGE` record, or None
@@ -95,11 +97,14 @@
     if kept.key:
         flags |= KEYED
         extra = kept.key.to_bytes(KEY_SIZE, "little")
-    if kept.out or kept.ran or kept.notice or kept.marks:
+    named = [kept.tenant, kept.idempotency.decode("latin-1")]
+    if kept.out or kept.ran or kept.notice or kept.marks or any(named):
         flags |= TRIED
         tried: list[Any] = [kept.ran, list(kept.out.items()), kept.notice]
-        if kept.handed is not None or kept.marks:
+        if kept.handed is not None or kept.marks or any(named):
             tried += [kept.handed, [mark.hex() for mark in kept.marks]]
+        if any(named):  # last, where builds that do not know of them pass over them
+            tried += named
         told = json.dumps(tried, separators=(",", ":")).encode()
         extra += LENGTH.pack(len(told)) + told
     if kept.attributes:
@@ -135,12 +140,15 @@
     out: dict[int, tuple[str, float]] = {}
     ran = notice = handed = None
     marks: list[bytes] = []
+    tenant, idempotency = "", ""
     if flags & TRIED:
         (size,) = LENGTH.unpack_from(payload, at)
         at += LENGTH.size
         ran, tries, notice, *rest = json.loads(payload[at : at + size])
         if rest:
             handed, marks = rest[0], [bytes.fromhex(mark) for mark in rest[1]]
+        if len(rest) > 2:
+            tenant, idempotency = rest[2:4]
         at += size
         out = {attempt: (endpoint, when) for attempt, (endpoint, when) in tries}
         ran, notice = tuple(ran) if ran else None, tuple(notice) if notice else None
@@ -168,6 +176,8 @@
         attributes,
         handed,
         marks,
+        tenant,
+        idempotency.encode("latin-1"),
     )
 
 
--- a/rushhitch/journal/store.py
+++ b/rushhitch/journal/store.py
@@ -283,7 +283,8 @@
 
     @staticmethod
     def cost(kept: Kept) -> int:
-        return RECORD_ROOM + len(kept.body) + len(kept.attributes)
+        named = len(kept.tenant) + len(kept.idempotency)
+        return RECORD_ROOM + named + len(kept.body) + len(kept.attributes)
 
     def has_room(self, body: int) -> bool:
         """Whether a message with a body of so many bytes may be taken on. Not while the disk is full."""
--- a/rushhitch/partners/codec.py
+++ b/rushhitch/partners/codec.py
@@ -26,6 +26,7 @@
     cls: str = ""
     attributes: bytes = b""  # of an event, as a JSON object; empty where the message came in otherwise
     deadline: float = 0.0  # when its time is up, Unix time in seconds
+    idempotency: bytes = b""  # the key by which its endpoint knows a repeat; empty without one
 
 
 @dataclass(frozen=True, slots=True)
--- a/rushhitch/partners/platform.py
+++ b/rushhitch/partners/platform.py
@@ -30,8 +30,12 @@
         headers = [(b"X-Time-Left-Ms", b"%d" % max(left_ms, 1.0))]
         if len(attempts) == 1:
             headers.append((b"X-Correlation-Id", attempts[0].id))
+            if attempts[0].idempotency:
+                headers.append((b"Idempotency-Key", attempts[0].idempotency))
             return Written("/receive", headers, attempts[0].body)
-        lines = (b"%s - %d\r\n%s\r\n" % (a.id, len(a.body), a.body) for a in attempts)
+        lines = (
+            b"%s %s %d\r\n%s\r\n" % (a.id, a.idempotency or b"-", len(a.body), a.body) for a in attempts
+        )
         return Written("/receive-many", headers, b"".join(lines))
 
     def wait_ms(self, response: h11.Response, now: float) -> float:
--- a/rushhitch/taker.py
+++ b/rushhitch/taker.py
@@ -24,6 +24,8 @@
     again: bool = False
     attributes: bytes = b""  # of an event, as a JSON object: they go on with it
     remember: bool = False  # the id names this message for good: past its end too, it is not a new one
+    tenant: str = ""  # whose allowance it counts against
+    idempotency: bytes = b""  # the key by which its endpoint knows a repeat: goes on with it unchanged
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_customers.py
@@ -0,0 +1,145 @@
+"""The whole program under another customer's settings: keys and tenants of a message are carried along."""
+
+import asyncio
+import json
+
+import pytest
+from doubles import WORTH, Program, run
+from test_benchlink import TOLD
+
+from crowpier import Dispatcher
+from crowpier.benchlink import settings_of
+from crowpier.interface import Arrived
+from rushhitch.core.node import Node
+from rushhitch.journal import Journal, Kept
+from rushhitch.journal import format as form
+from rushhitch.taker import BadRequest, Offer
+
+BERTH = {"name": "berth", "effect": "by_key", "group": "zone", "windowMs": 900.0} | WORTH
+BERTH |= {"aimMs": 350.0, "hardLimitMs": 6000.0}
+TENANTS = [
+    {"name": "consorzio", "share": 0.5, "allowancePerS": 1.0},
+    {"name": "comune", "share": 0.5, "allowancePerS": 1.0},
+]
+FIELDS = b"c=berth,t=comune,d=5000,k=f59ace57a939f76f,dest=7"
+
+
+class Customer(Program):
+    def config(self):
+        told = super().config()
+        told["settings"] |= {"categories": [BERTH], "tenants": TENANTS}
+        return told
+
+
+def with_customer(folder, batch=1):
+    def decorate(test):
+        async def work():
+            program = await Customer(folder, batch).surroundings()
+            await program.start()
+            try:
+                await test(program)
+            finally:
+                if program.process.returncode is None:
+                    await program.kill()
+
+        run(work())
+
+    return decorate
+
+
+def test_the_key_of_repeats_goes_to_the_endpoint_as_the_client_gave_it(tmp_path):
+    # Guards against calls that endpoints take for another message: without its key a repeat runs twice.
+    @with_customer(tmp_path)
+    async def _(program):
+        client = await program.client()
+        assert await client.ask(b"OUT.ADD", b"00", b"m1", FIELDS, b"hello") == b"+OK\r\n"
+        request = await program.partner.next()
+        assert request.headers["idempotency-key"] == "f59ace57a939f76f"
+        request.answer(200)
+        assert await client.ask(b"OUT.ADD", b"00", b"m2", b"c=berth,d=5000,dest=7", b"hello") == b"+OK\r\n"
+        assert "idempotency-key" not in (await program.partner.next()).headers
+
+
+def test_each_message_of_a_batch_has_its_own_key_of_repeats(tmp_path):
+    @with_customer(tmp_path, batch=4)
+    async def _(program):
+        client = await program.client()
+        client.send(b"OUT.ADD", b"00", b"m1", FIELDS, b"hello")
+        client.send(b"OUT.ADD", b"00", b"m2", b"c=berth,d=5000,dest=7", b"you")
+        request = await program.partner.next()
+        assert request.target == "/receive-many"
+        assert request.body == b"m1 f59ace57a939f76f 5\r\nhello\r\nm2 - 3\r\nyou\r\n"
+
+
+def test_the_key_of_repeats_outlasts_the_process(tmp_path):
+    @with_customer(tmp_path)
+    async def _(program):
+        client = await program.client()
+        assert await client.ask(b"OUT.ADD", b"00", b"m1", FIELDS, b"hello") == b"+OK\r\n"
+        (await program.partner.next()).answer(429, X_Come_Back_Ms="300")
+        while any(kept.out for kept in program.journal().live.values()):
+            await asyncio.sleep(0.01)
+        await program.kill()
+        await program.start()
+        again = await program.partner.next()
+        assert again.headers["idempotency-key"] == "f59ace57a939f76f"
+
+
+def node_of(tmp_path, heard):
+    """A node that only notes what it gives to the decisions."""
+    told = json.loads(json.dumps(TOLD)) | {"categories": [BERTH], "tenants": TENANTS}
+    settings = settings_of(json.dumps(told).encode())
+    node = Node(settings, Dispatcher(settings, 1), Journal(tmp_path, 3e6), lambda *end: None)
+    node.listing.destinations[7] = 0.0
+    node.note = heard.append
+    return node
+
+
+def test_a_message_counts_against_its_own_tenant(tmp_path):
+    # Guards against one tenant's flood that uses up the allowance of another, and the other way round.
+    async def work():
+        heard = []
+        node = node_of(tmp_path, heard)
+        for number, tenant in enumerate(("consorzio", "comune", "")):
+            node.offer(Offer(b"m%d" % number, "berth", 7, 1000.0, b"", tenant=tenant), lambda reply: None)
+        assert [event.tenant for event in heard if isinstance(event, Arrived)] == [0, 1, 2]
+        with pytest.raises(BadRequest, match="unknown tenant 'duomo'"):
+            node.offer(Offer(b"m9", "berth", 7, 1000.0, b"", tenant="duomo"), lambda reply: None)
+        node.journal.close()
+
+    run(work())
+
+
+def test_a_message_that_was_resumed_counts_against_its_tenant_again(tmp_path):
+    async def work():
+        journal = Journal(tmp_path, 3e6)
+        journal.take(Kept(1, b"m1", "berth", 7, 4e9, b"x", tenant="comune"))
+        journal.flush()
+        journal.close()
+        heard = []
+        node = node_of(tmp_path, heard)
+        node.resume()
+        assert [event.tenant for event in heard if isinstance(event, Arrived)] == [1]
+        node.journal.close()
+
+    run(work())
+
+
+def test_a_message_without_an_allowance_is_never_over_one():
+    settings = settings_of(json.dumps(TOLD | {"tenants": TENANTS}).encode())
+    dispatcher = Dispatcher(settings, 1)
+    dispatcher.now = 0.0
+    assert not any(dispatcher.over_share(2) for _ in range(50))
+    assert any(dispatcher.over_share(0) for _ in range(50))
+
+
+def test_the_journal_keeps_tenant_and_key_and_an_older_build_passes_over_them():
+    message = Kept(1, b"m1", "berth", 7, 4e9, b"body", tenant="comune", idempotency=b"f59a")
+    read = form.read_message(form.message_payload(message), {})
+    assert (read.tenant, read.idempotency, read.body) == ("comune", b"f59a", b"body")
+    assert form.read_message(form.message_payload(Kept(1, b"m1", "berth", 7, 4e9, b"body")), {}).tenant == ""
+    size = form.MESSAGE_HEAD.size + len(b"m1") + len("berth")
+    payload = form.message_payload(message)
+    (length,) = form.LENGTH.unpack_from(payload, size)
+    told = json.loads(payload[size + form.LENGTH.size :][:length])
+    assert told == [None, [], None, None, [], "comune", "f59a"]  # an older build reads the first five
--- a/tests/test_fronts_resp2.py
+++ b/tests/test_fronts_resp2.py
@@ -55,6 +55,18 @@
     offer = parse_offer(list(ADD))
     assert (offer.id, offer.cls, offer.destination, offer.left_ms) == (b"m1", "note", 7, 8000.0)
     assert (offer.body, offer.key, offer.again) == (b"body", 0, True)
+    assert (offer.tenant, offer.idempotency) == ("", b"")
+
+
+def test_the_tenant_and_the_key_of_repeats_are_read():
+    offer = parse_offer([*ADD[:3], b"c=note,t=comune,d=8000,k=f59ace57a939f76f,dest=7", b"body"])
+    assert (offer.tenant, offer.idempotency) == ("comune", b"f59ace57a939f76f")
+
+
+@pytest.mark.parametrize("key", [b"a b", b"a\r\nX-Other: 1", b"\xff", b"x" * 129])
+def test_a_key_of_repeats_that_would_break_the_request_to_its_endpoint_is_refused(key):
+    with pytest.raises(BadRequest, match="k must be"):
+        parse_offer([*ADD[:3], b"c=note,d=8000,dest=7,k=" + key, b"body"])
 
 
 def test_answers_go_out_in_the_order_of_the_requests():
