A repeat within a window begins before the window ends, or not at all

Ruled out: the group (all in one zone), the decision itself (none was decided past the window), a restart.

At fault: Endpoints.run looked at drains and told waits once the connection was up, and at nothing else; Message.window was known to the decisions alone. Send now tells start_by_ms, and the call looks at it, with the moment before its last byte counted in. A whole batch goes back where one of its messages is too late: that is rare, and costs them a short rest.

Tests: tests/test_endpoints.py holds the connection back until the moment has passed; tests/test_rules.py.

--- a/crowpier/interface.py
+++ b/crowpier/interface.py
@@ -388,11 +388,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Call the endpoint with the message; the n-th send of a message is its attempt n, counted from 0."""
+    """Call the endpoint with the message; the n-th send of a message is its attempt n, counted from 0. From
+    `start_by_ms` on it must not begin any more: a call whose connection comes up later ends as `MOOT`."""
 
     message: int
     endpoint: str
     stop_at_ms: float = 0.0
+    start_by_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -282,6 +282,11 @@
         self.not_before = -math.inf
         self.over = False
 
+    @property
+    def window_ends(self) -> float:
+        """From then on its key does not keep a repeat from counting twice."""
+        return self.ran_at + self.cls.window_ms if self.cls.effect is Effect.KEYED else math.inf
+
     def start_over(self) -> None:
         self.first, self.plans, self.retries = None, None, FIRST_RETRIES
 
@@ -604,10 +609,7 @@
 
     def latest_start(self, message: Message) -> float:
         """Past this nothing is sent: a usual call would end too late, or a repeat would count twice."""
-        latest = message.deadline - self.usual_call(message)
-        if message.ran_at < math.inf and message.cls.effect is Effect.KEYED:
-            latest = min(latest, message.ran_at + message.cls.window_ms)
-        return latest
+        return min(message.deadline - self.usual_call(message), message.window_ends)
 
     def usual_call(self, message: Message) -> float:
         return self.usual[message.cls.name] * max(message.destination.stretch, 1.0)
@@ -1086,7 +1088,7 @@
             aims *= DOUBTED_SHARE
         patience = max(TIMEOUT_CALLS * call.usual, aims * message.cls.aim_ms)
         stop_at = min(self.now + patience, message.deadline)
-        self.actions.append(api.Send(message.id, call.endpoint.name, stop_at))
+        self.actions.append(api.Send(message.id, call.endpoint.name, stop_at, message.window_ends))
 
     def fill(self, call: Call) -> None:
         """Messages of one round to one endpoint share the call where the kind takes several."""
--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -516,7 +516,7 @@
         match action:
             case api.Send() if self.frozen:
                 pass  # the process that goes on decides anew
-            case api.Send(number, endpoint, stop_at_ms):
+            case api.Send(number, endpoint, stop_at_ms, start_by_ms):
                 message = self.messages[number]
                 kept, attempt = message.kept, message.attempts
                 message.attempts += 1
@@ -534,6 +534,7 @@
                         kept.attributes,
                         kept.deadline,
                         kept.idempotency,
+                        start_by_ms / 1000.0,
                     )
                 )
             case api.Fail(number):
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -280,7 +280,7 @@
             async with asyncio.timeout_at(min(attempt.stop_at for attempt in attempts)) as limit:
                 while connection is None:
                     connection = await self.connected(call)
-                    if self.barred(call.endpoint):
+                    if self.barred(call.endpoint) or self.too_late(connection, attempts):
                         broken = Outcome.MOOT
                         break
                     connection.begun = lambda: self.hurry(limit)
@@ -367,6 +367,11 @@
             return True
         return place.state is not State.READY or self.waits.get(place.lane, 0.0) > self.loop.time()
 
+    def too_late(self, connection: Connection, attempts: list[Attempt]) -> bool:
+        """Guards against a repeat that was decided in time and counts twice all the same: its connection took
+        longer to come up than was left. Its last byte goes out after a further look."""
+        return self.loop.time() + connection.look_s >= min(attempt.start_by for attempt in attempts)
+
     async def request(self, connection: Connection, call: Call, attempts: list[Attempt]) -> None:
         left = min(attempt.stop_at for attempt in attempts) - self.loop.time()
         written = call.codec.write(attempts, left * 1000.0)
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
 import pytest
 from bed import settings
@@ -496,6 +497,28 @@
         assert await request.ended()
 
 
+@pytest.mark.parametrize("batch", [1, 4])
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent(batch):
+    # Guards against a repeat that was decided in time, waits for its connection and then counts twice.
+    @with_caller(batch=batch)
+    async def _(caller):
+        loop = asyncio.get_running_loop()
+        go_on, connect, start_by = asyncio.Event(), caller.endpoints.connect, loop.time() + 0.05
+
+        async def slow_connect(endpoint):
+            await go_on.wait()
+            return await connect(endpoint)
+
+        caller.endpoints.connect = slow_connect
+        attempts = [Attempt(m, 1, b"m%d" % m, b"", loop.time() + 30.0) for m in range(batch)]
+        attempts[-1] = replace(attempts[-1], start_by=start_by)
+        caller.endpoints.send("e1", attempts)
+        loop.call_at(start_by, go_on.set)
+        for _ in range(batch):
+            assert await caller.result() == (Outcome.MOOT, False, 0.0)
+        assert caller.partner.requests.empty()
+
+
 @pytest.mark.parametrize("bar", ["wait", "drain"])
 def test_a_call_whose_connection_comes_up_after_a_told_wait_or_a_drain_is_not_sent(bar):
     # Guards against a send that was decided while the way was open but leaves when it is barred.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,11 +1,12 @@
 """The six rules, each by hand; `bed.Bed` asserts them from outside after every batch."""
 
+import math
 from collections import Counter
 
 import pytest
 from bed import CLASSES, KEYED, ORDERED, SAFE, UNSAFE, Bed
 
-from crowpier.interface import Entry, ListKind, Outcome, State, Tenant
+from crowpier.interface import Entry, ListKind, Outcome, Send, State, Tenant
 
 ONE = Entry("one", 1)
 TWO = Entry("two", 1, zone=1)
@@ -56,6 +57,19 @@
     assert max(at for _, at, _ in bed.sent[1]) <= bed.since[1] + 5000
 
 
+def test_a_repeat_of_a_keyed_message_tells_the_end_of_its_window():
+    # Guards against a repeat that begins later than it was decided, past its window.
+    bed, seen = Bed(ONE, TWO), []
+    bed.check = lambda action, check=bed.check: (seen.append(action), check(action))
+    bed.arrive(1, KEYED)
+    at = bed.sent[1][0][1]
+    bed.end(1, Outcome.ERROR)
+    bed.pass_ms(1000, timeouts=False)
+    first, repeat = (action for action in seen if isinstance(action, Send))
+    assert first.start_by_ms == math.inf
+    assert repeat.start_by_ms == at + 5000
+
+
 @pytest.mark.parametrize("news", ["drain", "gone", "left out of the whole list"])
 def test_nothing_new_goes_to_an_endpoint_that_drains_or_is_gone(news):
     bed = Bed(ONE)
