Silent watches are asked for in time, lists may be indented, a spoilt row is no word that it went

- SILENCE_S 5 s and then Asks.rest(), over 3 s with 200 dispatchers: up to 8.4 s, while all that a silent watch misses counts as told after 6.
Now 3.5 s without a whole word, and the next is asked for within 1.2 s, spread by chance; that leaves 1.3 s for the answer.
- Any byte counted as life: half an object that trickles kept a dead watch.
Only whole words do.
Words takes objects apart by their braces, in one pass.
- Listing.take took a row it could not read for an endpoint that is gone, in a whole list; one with no rows at all ("servers" missing) took all away.
A row that names a known endpoint keeps it as it was, or drains or removes it where its state can be read.

test_a_watch_that_.._talks_nonsense sent "{" as nonsense: that begins an indented object now, so it sends "}" and one more case, a word without servers; half an object has its own test.

--- a/rushhitch/core/listing.py
+++ b/rushhitch/core/listing.py
@@ -69,6 +69,7 @@
                 entries.append(self.entry(row))
             except (KeyError, TypeError, ValueError, AttributeError) as error:
                 log.warning("list: an entry is left out: %s: %s: %r", type(error).__name__, error, row)
+                entries += self.named(row)
         gone = {entry.endpoint for entry in entries if entry.state is State.GONE}
         if kind is not api.ListKind.DELTA:
             gone |= self.entries.keys() - {entry.endpoint for entry in entries}
@@ -122,6 +123,21 @@
             self.limits.counts.place(entry.endpoint, entry.destination, kind.apart)
         return entry
 
+    def named(self, row: Any) -> list[api.Entry]:
+        """What holds of an endpoint whose entry makes no sense: that it is listed, as it was known, and not
+        gone; that it drains or is gone where its state can be read. Nothing of one that was not known."""
+        name = row.get("id") if isinstance(row, dict) else None
+        if not isinstance(name, str) or (known := self.entries.get(name)) is None:
+            return []
+        state = row.get("state")
+        told = STATES.get(state, State.READY) if isinstance(state, str) else State.READY
+        if told is State.READY:  # no reason to take back a drain either
+            return [known]
+        if told is State.DRAINING:
+            known = self.entries[name] = replace(known, state=told)
+            self.endpoints.drain(name)
+        return [replace(known, state=told)]
+
     def lane_of(self, entry: api.Entry) -> int | str:
         """What the decision module calls the endpoint's lane."""
         return entry.endpoint if self.all_kinds[entry.kind].apart else entry.destination
--- a/rushhitch/discovery.py
+++ b/rushhitch/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import random
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -15,7 +16,8 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE_S = 5.0  # a watch says something every 2 s: after so long it is dead
+SILENCE_S = 3.5  # a watch says something every 2 s: after so long without a whole word of it, it is dead.
+SOON_S = 1.2  # The next is asked for within so long: 6 s after the silence began all it misses counts as told
 CONNECT_S, ANSWER_S = 1.0, 3.0
 BACKOFF_S, BACKOFF_TOP_S = 0.2, 2.0  # between two watches: doubled each time, and stretched by chance
 SHARE_S = 0.1  # for each other dispatcher: the least rest between two watches, and the spread of the first
@@ -47,6 +49,12 @@
         spread_s, self.spread_s = self.spread_s, 0.0
         return self.chance.random() * spread_s
 
+    def soon(self) -> float:
+        """Seconds until the one in place of a watch that fell silent: what it misses may count as told soon.
+        Watches fall silent at moments of their own, so those who ask are spread by more than this."""
+        self.failures = 0
+        return self.chance.random() * min(self.share_s, SOON_S)
+
     def rest(self) -> float:
         """Seconds until the next one after one that ended or failed."""
         least = max(BACKOFF_S, min(self.share_s, LONGEST_S / 2.0))
@@ -56,6 +64,47 @@
         return rest * self.chance.uniform(0.5, 1.5)
 
 
+class Silent(Exception):
+    """The watch says nothing whole any more, and its connection stays open."""
+
+
+class Words:
+    """Takes a watch's bytes apart: an object each, over one line or several, and empty lines between them."""
+
+    MARKS = re.compile(rb'[{}\n]|"(?:[^"\\]|\\.)*"|"', re.DOTALL)  # a text as a whole: it may hold braces
+
+    def __init__(self) -> None:
+        self.held = b""  # of an object that has not come whole
+        self.depth = self.at = 0  # braces open in it, and how far it was gone over
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """What is whole now: objects, and an empty one for an empty line. A `ValueError` for any other."""
+        held, start, words = self.held + data, 0, []
+        while mark := self.MARKS.search(held, self.at):
+            if mark[0] == b'"':  # a text whose end has not come
+                self.at = mark.start()
+                break
+            self.at = mark.end()
+            if mark[0] == b"{":
+                self.depth += 1
+            elif mark[0] == b"}":
+                self.depth -= 1
+            if self.depth > 0 or mark[0] not in b"}\n":
+                continue
+            word, start = held[start : self.at].strip(), self.at
+            if word and not word.startswith(b"{"):
+                raise ValueError(f"no object: {word[:80]!r}")
+            words.append(word)
+        else:
+            self.at = len(held)
+        self.held, self.at = held[start:], self.at - start
+        if len(self.held) > MOST_LINE:
+            raise ValueError(f"an object of more than {MOST_LINE} bytes")
+        if not self.depth and not b"{".startswith(self.held.lstrip()[:1]):
+            raise ValueError(f"no object: {self.held[:80]!r}")
+        return words
+
+
 class Watch:
     """Keeps a watch open from the version known; hands each line of it to `told`."""
 
@@ -78,13 +127,17 @@
     async def run(self) -> None:
         await asyncio.sleep(self.asks.first())
         while True:
+            rest = self.asks.rest
             try:
                 await self.watch()
+            except Silent:
+                log.info("watch ended: it fell silent")
+                rest = self.asks.soon
             except BROKEN as error:
                 log.info("watch ended: %r", error)
             except Exception:
                 log.exception("watch failed")
-            await asyncio.sleep(self.asks.rest())
+            await asyncio.sleep(rest())
 
     async def watch(self) -> None:
         """One watch, until it breaks or falls silent."""
@@ -96,26 +149,33 @@
                 response = await connection.response()
             if response.status_code != 200:
                 raise ConnectionError(f"discovery answered {response.status_code}")
-            rest = b""
+            words = Words()
             while True:
-                async with asyncio.timeout(self.silence_s):
-                    event = await connection.event()
-                if not isinstance(event, h11.Data):
-                    raise ConnectionError("discovery ended the watch")
-                *lines, rest = (rest + bytes(event.data)).split(b"\n")
-                if len(rest) > MOST_LINE:
-                    raise ValueError(f"a line of more than {MOST_LINE} bytes")
+                # From whole word to whole word: part of one, however it trickles, is no sign of life.
+                try:
+                    async with asyncio.timeout(self.silence_s):
+                        while not (lines := await self.more(connection, words)):
+                            pass
+                except TimeoutError:
+                    raise Silent from None
+                self.asks.failures = 0
                 for line in lines:
-                    self.asks.failures = 0
-                    if line.strip():
+                    if line:
                         self.read(line)
         finally:
             connection.close()
 
+    @staticmethod
+    async def more(connection: Connection, words: Words) -> list[bytes]:
+        event = await connection.event()
+        if not isinstance(event, h11.Data):
+            raise ConnectionError("discovery ended the watch")
+        return words.feed(bytes(event.data))
+
     def read(self, line: bytes) -> None:
         news = json.loads(line)
-        if not isinstance(news, dict) or not isinstance(news.get("version"), int):
-            raise ValueError(f"a line of the watch has no version: {line[:80]!r}")
+        if not isinstance(news.get("version"), int) or not isinstance(news.get("servers"), list):
+            raise ValueError(f"a word of the watch has no version or no servers: {line[:80]!r}")
         self.told(news)
         self.version = news["version"]
 
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -113,6 +113,11 @@
             for entry in list(self.idle.get(endpoint, ())):
                 self.drop(endpoint, entry)
 
+    def drain(self, endpoint: str) -> None:
+        """It wants nothing new."""
+        if endpoint in self.places:
+            self.place(endpoint, replace(self.places[endpoint], state=State.DRAINING))
+
     def bar(self, endpoint: str) -> None:
         """The endpoint is no longer listed."""
         if endpoint in self.places:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 import json
 import random
 
+import pytest
 from doubles import Peer, run
 
 from rushhitch import discovery
@@ -53,6 +54,65 @@
         assert await request.ended()
 
 
+@pytest.mark.parametrize("indent", [None, 2, "\t"])
+@pytest.mark.parametrize("step", [1, 7, 1000])
+def test_lists_are_read_however_they_are_indented_and_cut_up(indent, step):
+    row = {"id": 's-"}{\\', "addr": "[1]\n", "more": [{"a": {}}, "\\"]}
+    told = [{"version": version, "full": False, "servers": [row] * version} for version in range(3)]
+    data = b"\n" + b"\n".join(json.dumps(one, indent=indent).encode() + b"\n" for one in told)
+    words, found = discovery.Words(), []
+    for at in range(0, len(data), step):
+        found += words.feed(data[at : at + step])
+    assert [json.loads(word) for word in found if word] == told and b"" in found
+    assert not words.held
+
+
+@pytest.mark.parametrize("data", [b"x", b"}\n", b"[1]\n", b'"a"\n', b'{"a":1}}\n', b"7\n"])
+def test_what_is_no_object_is_refused(data):
+    with pytest.raises(ValueError, match="no object"):
+        discovery.Words().feed(data)
+
+
+def test_an_indented_list_is_told_from_a_watch():
+    @with_watch()
+    async def _(platform, told):
+        request = await platform.next()
+        request.start_watch()
+        request.chunk(json.dumps(news(42), indent=2))
+        assert await told.get() == news(42)
+
+
+def test_a_watch_that_trickles_half_an_object_is_dead_and_is_opened_again():
+    # Guards against a silence that looks like life: nothing whole comes any more, byte after byte.
+    @with_watch(silence_s=0.3)
+    async def _(platform, told):
+        request = await platform.next()
+        request.start_watch()
+        request.chunk(json.dumps(news(50)))
+
+        async def trickle():
+            request.chunk('{"version":51,"note":"')
+            while True:
+                await asyncio.sleep(0.05)
+                request.writer.write(b"1\r\nx\r\n")
+
+        trickling = asyncio.create_task(trickle())
+        assert (await platform.next()).target.endswith("from=50")
+        assert await request.ended()
+        trickling.cancel()
+
+
+@pytest.mark.parametrize("dispatchers", [1, 5, 200, 5000])
+def test_what_a_silent_watch_misses_is_asked_for_before_it_counts_as_told(dispatchers):
+    # A watch says its last word up to 2 s before its silence can begin to count; 1 s is left for the answer.
+    asks = discovery.Asks(random.Random(1), dispatchers)
+    latest = max(asks.soon() for _ in range(1000))
+    assert discovery.SILENCE_S + latest + 1.0 <= 6.0
+    assert discovery.SILENCE_S > 2.0 + 1.0, "one late word is no silence"
+    if dispatchers >= 200:
+        assert latest > 1.0, "all ask in step"
+
+
 def test_a_watch_that_fails_or_ends_or_talks_nonsense_is_opened_again():
     @with_watch()
     async def _(platform, told):
@@ -63,10 +123,13 @@
         ended.writer.write(b"0\r\n\r\n")
         broken = await platform.next()
         broken.start_watch()
-        broken.chunk("{")
+        broken.chunk("}")
         nameless = await platform.next()
         nameless.start_watch()
         nameless.chunk('{"servers":[]}')
+        empty = await platform.next()
+        empty.start_watch()
+        empty.chunk('{"version":43,"full":true}')
         request = await platform.next()
         request.start_watch()
         request.chunk(json.dumps(news(44)))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,7 +10,7 @@
 
 from crowpier import Dispatcher
 from crowpier.benchlink import settings_of
-from crowpier.interface import Arrived, Listed, ListKind, Remembered
+from crowpier.interface import Arrived, Listed, ListKind, Remembered, State
 from rushhitch.control.bans import Bans
 from rushhitch.core import listing
 from rushhitch.core import node as node_module
@@ -195,6 +195,33 @@
     assert caplog.text.count("an entry is left out") == 2
 
 
+@pytest.mark.parametrize(
+    ("spoilt", "state"),
+    [
+        ({"kind": "unheard"}, State.READY),
+        ({"addr": "nowhere"}, State.READY),
+        ({"cell": None}, State.READY),
+        ({"state": "ASLEEP"}, State.READY),
+        ({"zone": "unheard", "state": "DRAINING"}, State.DRAINING),
+        ({"kind": "unheard", "state": "DELETED"}, State.GONE),
+    ],
+)
+def test_an_endpoint_whose_entry_makes_no_sense_is_not_taken_for_gone(tmp_path, spoilt, state):
+    # Guards against a list with a spoilt row that takes a partner's only endpoint away.
+    @with_bench(tmp_path)
+    async def _(bench):
+        told = []
+        bench.node.listing.note = told.append
+        bench.node.listing.take({"version": 42, "full": True, "servers": [bench.row | spoilt]})
+        (entry,) = told[-1].entries
+        assert (entry.endpoint, entry.state) == ("e1", state)
+        if state is State.GONE:
+            assert "e1" not in bench.node.endpoints.places
+        else:
+            assert bench.node.endpoints.places["e1"].state is state
+            assert bench.node.listing.entries["e1"].state is state
+
+
 @pytest.mark.parametrize("full", [True, False])
 def test_what_a_whole_list_leaves_out_is_gone(tmp_path, full):
     @with_bench(tmp_path)
