After SIGTERM those who wait in the listener's queue are taken before it closes

From the review: leave() closed the listener 0.6 s after SIGTERM with whoever had connected and was not accepted yet (the event loop was busy, or 16 had just been taken): the kernel resets them, with their request sent, and their client hears nothing. accept() also gave up for the turn where one connection had been aborted. At a handover the queue is the successor's too, and stays. Test: forty clients in the queue of a listener that closes; without the mend they are reset.

--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -232,19 +232,23 @@
         self.listeners.append(listener)
         return listener.getsockname()
 
-    def accept(self, listener: socket.socket, front: Callable[[Clients], ClientConnection]) -> None:
+    def accept(self, listener: socket.socket, front: Callable[[Clients], ClientConnection]) -> bool:
+        """Whether more may be waiting."""
         for _ in range(ACCEPTS):
             try:
                 sock, _ = listener.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                return
+            except ConnectionAbortedError:
+                continue
+            except BlockingIOError:
+                return False
             except OSError as error:
                 log.error("a connection is not accepted: %s", error)
-                return
+                return False
             sock.setblocking(False)
             task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: front(self), sock))
             self.accepted.add(task)
             task.add_done_callback(self.accepted.discard)
+        return True
 
     def adopt(self, sock: socket.socket, name: str, tail: bytes, asked: bool, heard_at: float) -> None:
         """A client's connection that another process has passed on."""
@@ -307,6 +311,13 @@
         for listener, front in zip(self.listeners, self.fronts.values(), strict=True):
             self.loop.add_reader(listener, self.accept, listener, front)
 
+    def accept_waiting(self) -> None:
+        """Take all who have come. To close a listener resets those who wait in its queue, unless another
+        process has it too."""
+        for listener, front in zip(self.listeners, self.fronts.values(), strict=True):
+            while self.accept(listener, front):
+                pass
+
     def stop_listening(self) -> None:
         for listener in self.listeners:
             self.loop.remove_reader(listener)
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -263,6 +263,7 @@
         log.info("%s is leaving, %d messages held", self.configuration.name, len(node.by_id))
         node.leaving(leave_at)
         await asyncio.sleep(ACCEPT_S)
+        clients.accept_waiting()
         clients.stop_listening()
         await asyncio.sleep(FINISH_S - ACCEPT_S)
         clients.finish()
--- a/tests/test_fronts_resp2.py
+++ b/tests/test_fronts_resp2.py
@@ -334,3 +334,17 @@
         at += step
     assert framing.size == 0
     assert framing.follow(b"*1\r\n$4\r\nPI") == 10 and framing.size == 10
+
+
+def test_those_who_wait_in_the_queue_of_a_listener_that_closes_are_served():
+    # Guards against a client whose connection is there, whose request is sent, and which is reset at an end.
+    @with_server(most=64)
+    async def _(server, taker):
+        server.pause_listening()
+        waiting = [await connect(server) for _ in range(40)]
+        for client in waiting:
+            client.send(b"PING")
+        server.accept_waiting()
+        server.stop_listening()
+        for client in waiting:
+            assert await client.line() == b"+PONG\r\n"
