Ages of attempts over a restart go by a clock that is not set back, up to the turn

Seen: a keyed attempt's age was `max(time.time() - at, 0)`. With the wall clock set back between two processes, or within the first, an attempt looked younger than it is, or new where it seemed to lie in the future, and its repeat went out past its window (`Node.arrive`). And the age was taken when the event was noted, while the module counts from the turn in which it hears of it (`Node.turn`): the window grew by all that a start does in between.

Attempts are recorded by it, ages read by it; one that no clock tells (another boot, and it seems to lie ahead) is past every window. `older` adds the time up to the turn.

Looked at and found right, with guards now: the record is that of the first attempt that may have run, also after compaction; it is written before the first byte; times are doubles, not rounded; a call lent over a handover counts from its sending; a retry within a process counts from the first attempt's decision, which is earlier than its record.

The real program is killed and ended with rests of 0.3, 0.9 and 1.5 s.

--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
@@ -88,6 +89,8 @@
         self.frozen = self.yielded = False  # sends nothing more; another process owns all
         self.lent: dict[tuple[int, int], Loan] = {}  # attempts that an earlier process carries to their end
         self.call_back: Callable[[int, int], None] = lambda message, attempt: None  # one of them
+        self.ahead_s: float | None = None  # of the loop's clock is the steady one, `journal.steady`
+        self.aging: dict[int, float] = {}  # messages with attempts that the module has yet to hear of: since
         self.messages: dict[int, Message] = {}
         self.by_id: dict[bytes, Message] = {}
         self.numbers = journal.highest
@@ -216,6 +219,13 @@
         """The tenant's position; past the last one for a message that names none, which has no allowance."""
         return self.tenants.get(name, len(self.settings.tenants))
 
+    def steady(self) -> float:
+        """Unix time in seconds that is not set back while this process runs, nor over a restart where
+        `ahead_s` was kept."""
+        if self.ahead_s is None:
+            self.ahead_s = time.time() - self.loop.time()
+        return self.loop.time() + self.ahead_s
+
     def enter(self, kept: Kept, answer: Answer | None = None) -> Message:
         due = self.loop.time() + max(kept.deadline - time.time(), 0.0)
         message = Message(kept.number, kept, kept.attempts, due, answer)
@@ -291,11 +301,14 @@
             self.turn()
 
     def arrive(self, message: Message, loans: Sequence[Loan] = (), untried: bool = False) -> None:
-        """Give the module a message that has had attempts; those that are out are in an earlier process."""
+        """Give the module a message that has had attempts; those that are out are in an earlier process. An
+        age that no clock tells counts as one past every window."""
         kept, now = message.kept, time.time()
         terms, out = self.history.terms(kept.number, kept.cls), {loan.attempt for loan in loans}
         runs = [where for attempt, where in kept.out.items() if attempt not in out]
         ran = min([*runs, *([kept.ran] if kept.ran else [])], key=itemgetter(1), default=None)
+        age = self.steady() - ran[1] if ran else 0.0
+        self.aging[message.number] = self.loop.time()
         self.note(
             api.Arrived(
                 message.number,
@@ -306,7 +319,7 @@
                 key=kept.key,
                 again=kept.again,
                 attempts=kept.attempts,
-                ran_ago_ms=max((now - ran[1]) * 1000.0, 0.0) if ran else None,
+                ran_ago_ms=(age * 1000.0 if age >= 0.0 else math.inf) if ran else None,
                 ran_endpoint=ran[0] if ran else "",
                 untried=untried,
                 terms=terms,
@@ -466,8 +479,17 @@
         self.gathering = False
         events, self.events = self.events, []
         fresh, self.fresh, self.fresh_bytes = self.fresh, [], 0
+        now = self.loop.time()
+        if self.aging:
+            aging, self.aging = self.aging, {}
+            events = [
+                older(event, (now - aging[event.message]) * 1000.0)
+                if isinstance(event, api.Arrived) and event.message in aging
+                else event
+                for event in events
+            ]
         try:
-            actions = self.dispatcher.handle(self.loop.time() * 1000.0, events)
+            actions = self.dispatcher.handle(now * 1000.0, events)
         except Exception:
             log.exception("the decision module failed on %d events", len(events))
             actions = [api.Refuse(message.number) for message in fresh if not message.over]
@@ -512,7 +534,7 @@
             return [attempt for attempt in attempts if not self.messages[attempt.message].over]
 
         for attempt in live():
-            self.journal.attempt(attempt.message, attempt.number, endpoint, time.time())
+            self.journal.attempt(attempt.message, attempt.number, endpoint, self.steady())
         self.save(lambda: go(live()), lambda: go([]))
 
     def undo(self, fresh: list[Message], sends: dict[str, list[Attempt]]) -> None:
@@ -700,3 +722,11 @@
     def retry(self) -> None:
         self.retrying = None
         self.save()
+
+
+def older(event: api.Arrived, by_ms: float) -> api.Arrived:
+    """The same a while later. Guards against windows that seem longer by the time from the look at an age to
+    the turn in which the module hears of it: at a start with many messages, that may be long."""
+    ran_ago_ms = None if event.ran_ago_ms is None else event.ran_ago_ms + by_ms
+    out = tuple(replace(lent, sent_ago_ms=lent.sent_ago_ms + by_ms) for lent in event.out)
+    return replace(event, left_ms=max(event.left_ms - by_ms, 0.0), ran_ago_ms=ran_ago_ms, out=out)
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import socket
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from pathlib import Path
@@ -38,6 +39,7 @@
 from rushhitch.fronts.resp2 import Resp2
 from rushhitch.journal import Journal
 from rushhitch.journal.side import Side, unsealed
+from rushhitch.journal.steady import ahead_of, boot_id
 from rushhitch.partners.codec import Codec
 from rushhitch.planning.counts import LaneCounts
 from rushhitch.succession.handover import Handover
@@ -124,6 +126,7 @@
             bans,
             kept.history,
         )
+        node.ahead_s = ahead_of(journal, time.time(), self.loop.time(), boot_id())
         kept.take(configuration, node)
         self.kept = kept
         self.handshake = make_handshake(node, configuration.own)
--- a/tests/lives.py
+++ b/tests/lives.py
@@ -170,11 +170,12 @@
 
     partner = Partner
     codecs = None
+    classes = CLASSES
 
     def __init__(self, outside: Outside, files: Files, number: int, disk=DISK, sync=Sync.NONE) -> None:
         self.outside, self.files = outside, files
         settings = json.loads(json.dumps(TOLD))
-        settings["categories"] = CLASSES
+        settings["categories"] = self.classes
         settings["familyInfo"]["batchByKind"] = [1]
         told = settings_of(json.dumps(settings).encode())
         self.journal = Journal(files.folder, disk, sync, files, outside.time.time)
@@ -184,6 +185,9 @@
         row = {"addr": "127.0.0.1:1", "zone": "a", "kind": "firms", "cell": 7, "state": "SERVING"}
         rows = [row | {"id": name, "weight": 1.0, "started_ms": 0} for name in ("e1", "e2", "e3")]
         self.node.listing.take({"version": 41, "full": True, "servers": rows}, cached=True)
+        self.begin()
+
+    def begin(self) -> None:
         self.node.resume()
 
     def notify(self, number, name, result, wait_ms):
--- /dev/null
+++ b/tests/test_windows.py
@@ -0,0 +1,360 @@
+"""The window in which the key of a message keeps a repeat from counting twice, over a restart: what arrives
+is measured from outside, at the partner."""
+
+import asyncio
+import json
+import signal
+import time
+from dataclasses import dataclass, field
+
+import pytest
+from bed import settings
+from doubles import WORTH, Program, run
+from lives import CALL_S, Life, Partner, virtual
+from test_endings import Unreached
+
+from crowpier import Dispatcher
+from crowpier.interface import (
+    Arrived,
+    AttemptEnded,
+    Effect,
+    Entry,
+    Lent,
+    Listed,
+    ListKind,
+    MessageClass,
+    Outcome,
+    Send,
+)
+from lab.disk import CountingFiles
+from rushhitch.journal import Journal, Kept
+from rushhitch.journal.side import sealed
+from rushhitch.journal.steady import ahead_of
+
+WINDOW_S = 1.0
+BERTH = {"name": "berth", "effect": "by_key", "group": "all", "windowMs": WINDOW_S * 1000.0} | WORTH
+BERTH |= {"aimMs": 6000.0, "hardLimitMs": 20_000.0}  # nothing times out in a process of these tests
+GAPS_S = (0.3, 0.9, 1.5)  # from a process's end to the next start
+SLACK_S = 0.05  # of each time limit on real sockets
+
+
+class Harbour(Program):
+    """With a class of which repeats count once for a second, and a partner that may be moved."""
+
+    at = None
+    window_ms = WINDOW_S * 1000.0
+
+    def config(self):
+        told = super().config()
+        told["settings"]["categories"] = [BERTH | {"windowMs": self.window_ms}]
+        told["settings"]["policyLimits"]["connectTimeoutMs"] = 20_000.0
+        if self.at is not None:
+            told["known"]["servers"][0]["addr"] = "{}:{}".format(*self.at)
+        return told
+
+    async def take(self, client, *names):
+        for name in names:
+            assert await client.add(name, "berth", 20_000) == b"+OK\r\n"
+
+
+@dataclass
+class Seen:
+    """What the partner and the platform saw of each message, by the clock of the test."""
+
+    calls: dict[str, list[float]] = field(default_factory=dict)
+    dead: set[str] = field(default_factory=set)
+    lag_s: float = 0.0  # how late the test itself was, at most
+
+    async def hear(self, program, answers):
+        """From now on calls are noted, and answered where that is wanted; notices are taken."""
+        loop = asyncio.get_running_loop()
+
+        async def called():
+            while True:
+                request = await program.partner.next()
+                self.calls.setdefault(request.headers["x-correlation-id"], []).append(loop.time())
+                if answers.is_set():
+                    request.answer(200)
+
+        async def told():
+            while True:
+                request = await program.platform.next()
+                if request.target == "/status":
+                    self.dead |= {json.loads(line)["ref"] for line in request.body.splitlines()}
+                    request.answer(204)
+
+        async def lag():
+            while True:
+                since = loop.time()
+                await asyncio.sleep(0.005)
+                self.lag_s = max(self.lag_s, loop.time() - since - 0.005)
+
+        await asyncio.gather(called(), told(), lag())
+
+    async def first_calls(self, *names):
+        while not self.calls.keys() >= set(names):
+            await asyncio.sleep(0.005)
+
+
+async def restarted(folder, end, gap_s, names, apart_s, window_ms=WINDOW_S * 1000.0):
+    """Messages so far apart, each with one call out at the end of its process; all that came of them."""
+    folder.mkdir()
+    program, seen, answers = await Harbour(folder).surroundings(), Seen(), asyncio.Event()
+    program.window_ms = window_ms
+    hearing = asyncio.create_task(seen.hear(program, answers))
+    try:
+        await program.start()
+        client = await program.client()
+        for name in names:
+            await asyncio.sleep(apart_s)
+            await program.take(client, name.encode())
+        await seen.first_calls(*names)
+        program.process.send_signal(end)
+        await program.process.wait()
+        await asyncio.sleep(gap_s)
+        answers.set()
+        await program.start()
+        while program.journal().live:
+            await asyncio.sleep(0.02)
+        return seen
+    finally:
+        hearing.cancel()
+        if program.process.returncode is None:
+            await program.kill()
+
+
+@pytest.mark.parametrize("end", [signal.SIGKILL, signal.SIGTERM], ids=["SIGKILL", "SIGTERM"])
+def test_over_a_restart_a_repeat_reaches_its_partner_in_its_window_or_not_at_all(tmp_path, end):
+    # Three restarts side by side: after the longest rest each window is over, after the shortest none is, as
+    # slow as the start may be; the one between is as it comes. SIGTERM takes a process 3.3 s.
+    windows_s = (15.0, 1.6 if end is signal.SIGKILL else 5.2, WINDOW_S)
+    names = ["m0", "m1", "m2"]
+
+    async def work():
+        plays = (
+            restarted(tmp_path / f"{gap_s}", end, gap_s, names, 0.3, window_s * 1000.0)
+            for gap_s, window_s in zip(GAPS_S, windows_s, strict=True)
+        )
+        for seen, window_s in zip(await asyncio.gather(*plays), windows_s, strict=True):
+            for name in names:
+                first, *again = seen.calls[name]
+                late = max((at - first - window_s for at in again), default=0.0)
+                assert late <= SLACK_S + seen.lag_s, f"{name} came {late:.3f} s after its window"
+                assert again or name in seen.dead, f"{name} was neither repeated nor told"
+                assert again or window_s < 15.0, f"{name} was not repeated"
+                assert not again or window_s > WINDOW_S, f"{name} was repeated"
+
+    run(work())
+
+
+def test_a_repeat_whose_connection_comes_up_after_the_window_of_the_process_before_is_not_sent(tmp_path):
+    async def work():
+        program, unreached = await Harbour(tmp_path).surroundings(), Unreached()
+        program.window_ms = 3200.0
+        try:
+            await program.start()
+            await program.take(await program.client(), b"m1")
+            await program.partner.next()
+            since = time.monotonic()
+            await program.kill()
+            program.at = unreached.address
+            await program.start()
+            await unreached.wait_for_knock()
+            assert time.monotonic() - since < 3.2, "too slow a start: this run proves nothing"
+            await asyncio.sleep(since + 3.2 - time.monotonic())
+            others, accepted = {sock.getsockname() for sock in unreached.queued}, []
+            for sock in unreached.queued:
+                sock.close()
+
+            async def accept():
+                while True:
+                    accepted.append((await asyncio.get_running_loop().sock_accept(unreached.listener))[0])
+
+            accepting = asyncio.create_task(accept())  # the program's comes up when its SYN goes again
+            assert await program.notice() == {"ref": "m1", "result": "dead"}
+            accepting.cancel()
+            await program.kill()
+            came_up = [sock for sock in accepted if sock.getpeername() not in others]
+            for sock in came_up:
+                sock.settimeout(5.0)
+                assert sock.recv(1000) == b"", "a repeat was begun after its window"
+            assert came_up, "the connection never came up: this run proves nothing"
+            for sock in accepted:
+                sock.close()
+        finally:
+            unreached.close()
+            if program.process.returncode is None:
+                await program.kill()
+
+    run(work())
+
+
+STEP = """import os, time
+wall, step = time.time, float(os.environ["STEP_S"])
+time.time = lambda: wall() + step
+"""
+
+
+def test_a_wall_clock_that_is_set_back_between_two_processes_lengthens_no_window(tmp_path, monkeypatch):
+    # The second process reads 0.9 s less: by the wall clock alone, the repeat would still be in time.
+    (tmp_path / "sitecustomize.py").write_text(STEP)
+    monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+
+    async def work():
+        program = await Harbour(tmp_path).surroundings()
+        try:
+            monkeypatch.setenv("STEP_S", "0")
+            await program.start()
+            await program.take(await program.client(), b"m1")
+            await program.partner.next()
+            since = time.monotonic()
+            await program.kill()
+            monkeypatch.setenv("STEP_S", "-0.9")
+            await asyncio.sleep(since + WINDOW_S - time.monotonic())
+            await program.start()
+            assert await program.notice() == {"ref": "m1", "result": "dead"}
+            assert program.partner.requests.empty()
+            assert any("was set back by 0.9" in line for line in program.log)
+        finally:
+            if program.process.returncode is None:
+                await program.kill()
+
+    run(work())
+
+
+# In virtual time
+
+
+class Quiet(Partner):
+    """Never answers in the first life, and soon in the second; notes when it was called, by true time."""
+
+    def write(self, endpoint, attempts, going):
+        for attempt in attempts:
+            if attempt in going:
+                self.outside.calls.setdefault(attempt.id, []).append(self.outside.time.now)
+                self.outside.out.add(attempt.id)
+                if self.life > 1:
+                    self.node.loop.call_later(CALL_S, self.end, endpoint, attempt, Outcome.OK)
+
+
+class Mooring(Life):
+    """Keeps its steady clock in the folder, as the service does; the module may hear late of its messages."""
+
+    partner, classes = Quiet, [BERTH]
+    boot, late_s = "one", 0.0
+
+    def begin(self):
+        node, clock, turn = self.node, self.outside.time, self.node.turn
+        node.ahead_s = ahead_of(node.journal, clock.wall + clock.now, clock.now, self.boot)
+
+        def late():
+            clock.now += self.late_s  # nothing else runs meanwhile
+            turn()
+
+        node.turn = late
+        node.resume()
+        node.turn = turn
+
+
+class Rebooted(Mooring):
+    boot = "two"
+
+
+class Late(Mooring):
+    late_s = 0.25
+
+
+def kept_to_windows(tmp_path, second, gap_s, set_back_s=0.0, within=False):
+    """Three messages of several ages are out at a kill, and a second life follows; the wall clock is set back
+    before it, or `within` the first one. How often each went again, in its window; the rest is told."""
+    repeats = []
+
+    def work(outside):
+        outside.calls, clock = {}, outside.time
+        for number, life in enumerate((Mooring, second), 1):
+            files = CountingFiles(tmp_path, 1e6)
+            made = life(outside, files, number, disk=1e6)
+            if number == 1:
+                for name in (b"m0", b"m1", b"m2"):
+                    made.offer(name, "berth")
+                    clock.run(0.3)
+                    if within and name == b"m1":
+                        clock.wall -= set_back_s
+                files.die()
+                outside.killed()
+                clock.run(gap_s)
+                clock.wall -= 0.0 if within else set_back_s
+        clock.run(30.0)
+        files.die()
+        for name in (b"m0", b"m1", b"m2"):
+            first, *again = outside.calls[name]
+            assert all(at - first <= WINDOW_S for at in again), f"{name} came after its window"
+            assert again or outside.told[name] == "dead"
+            repeats.append(len(again))
+
+    virtual(work)
+    return repeats
+
+
+@pytest.mark.parametrize("within", [False, True], ids=["between the lives", "within the first"])
+@pytest.mark.parametrize("set_back_s", [0.0, 0.2, 0.8, 3600.0])
+@pytest.mark.parametrize(("gap_s", "repeats"), [(0.05, [1, 1, 1]), (0.3, [0, 1, 1]), (0.9, [0, 0, 0])])
+def test_a_wall_clock_that_is_set_back_makes_no_attempt_younger(tmp_path, gap_s, repeats, set_back_s, within):
+    assert kept_to_windows(tmp_path, Mooring, gap_s, set_back_s, within) == repeats
+
+
+@pytest.mark.parametrize("set_back_s", [3.0, 3600.0])
+def test_an_attempt_whose_age_no_clock_tells_is_past_its_window(tmp_path, set_back_s):
+    # The machine was started anew, and its wall clock is behind: an attempt seems to lie in the future.
+    assert kept_to_windows(tmp_path, Rebooted, 0.05, set_back_s) == [0, 0, 0]
+
+
+def test_a_window_goes_on_while_a_start_takes_its_time(tmp_path):
+    # From the look at the journal's ages to the turn in which the module hears of them.
+    assert kept_to_windows(tmp_path, Late, 0.05) == [0, 1, 1]
+
+
+@pytest.mark.parametrize("spoilt", [b"", b"x", b"00000000\n{}", None])
+def test_a_clock_that_cannot_be_read_or_kept_leaves_the_wall_clock(tmp_path, spoilt):
+    journal = Journal(tmp_path, 3e6)
+    if spoilt is None:
+        (tmp_path / "clock").write_bytes(sealed(b'{"boot":"one"}'))
+    else:
+        (tmp_path / "clock").write_bytes(spoilt)
+    assert ahead_of(journal, 1000.0, 10.0, "one") == 990.0
+    assert ahead_of(journal, 900.0, 20.0, "one") == 990.0, "the wall clock was set back meanwhile"
+    assert ahead_of(journal, 900.0, 20.0, "two") == 880.0
+    assert ahead_of(journal, 900.0, 20.0, "") == 880.0, "the system does not tell its boot"
+    journal.close()
+
+
+@pytest.mark.parametrize("compacted", [False, True])
+def test_the_journal_tells_of_the_first_attempt_that_may_have_run(tmp_path, compacted):
+    journal = Journal(tmp_path, 3e6)
+    journal.take(Kept(1, b"m1", "berth", 7, 4e9, b"x"))
+    for number, may_have_run in enumerate((False, True, True)):
+        journal.attempt(1, number, f"e{number}", 1000.25 + number)
+        journal.outcome(1, number, may_have_run)
+    journal.attempt(1, 3, "e3", 1003.25)
+    journal.flush()
+    if compacted:
+        journal.compact()
+    journal.close()
+    (kept,) = Journal(tmp_path, 3e6, writable=False).live.values()
+    assert kept.first_run == kept.ran == ("e1", 1001.25)
+
+
+@pytest.mark.parametrize("sent_ago_ms", [0.0, 700.0])
+def test_a_call_that_an_earlier_process_still_has_out_begins_the_window_when_it_was_sent(sent_ago_ms):
+    told = settings(classes=(MessageClass("berth", 3000, 20000, effect=Effect.KEYED, window_ms=1000),))
+    dispatcher = Dispatcher(told, seed=1)
+    lent = (Lent(0, "e1", 1, sent_ago_ms),)
+    dispatcher.handle(5000.0, [Listed(ListKind.FULL, 1, (Entry("e1", 1),))])
+    dispatcher.handle(5000.0, [Arrived(1, 0, 1, 20000.0, attempts=1, out=lent)])
+    dispatcher.handle(5100.0, [AttemptEnded(1, 0, "e1", Outcome.RESET, 100.0)])
+    for now in range(5100, 5300, 10):
+        for action in dispatcher.handle(float(now), []):
+            if isinstance(action, Send):
+                assert action.start_by_ms == 6000.0 - sent_ago_ms
+                return
+    raise AssertionError("it was not repeated")
