A repeat's last byte stays back where it would arrive after its key's window

Seen: a call's window was looked at once, when its connection had come up (`Endpoints.too_late`); then all but the last byte was written, for as long as the partner took over it, and after a further look the last one, whatever the time. A partner that read 20 MB only when the window was over got all of them.

Change: `Connection.send` looks at the clock again right before the last byte and raises `TooLate` where less than a look is left, which is twice what the connection took to come up (2 to 50 ms): the way there. The call ends as `MOOT`, never run, and its connection, with half a request on it, is closed. `too_late` wants two looks: one is made, one is for the way.

Ruled out: a second connection after the last byte (it is written by one call that sends it or nothing), and the batch, which the oldest of its windows binds.

Tests: of `test_windows`, slow to take it, and the last byte that stays back (0.01 s before and after), fail without the look.

--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 import socket
+import time
 from collections.abc import Callable
 
 import h11
@@ -31,6 +33,10 @@
     return host, int(port)
 
 
+class TooLate(Exception):
+    """The time is over by which a request's last byte has to reach the other side; it was not written."""
+
+
 class Connection:
     """Sends requests one at a time. `written` says whether the last byte of the newest one has gone out,
     `head` how its answer begins, past any 1xx."""
@@ -58,13 +64,21 @@
         return cls(sock, address, loop.time() - started)
 
     async def send(
-        self, method: str, target: str, headers: Headers, body: bytes = b"", look: bool = False
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes = b"",
+        look: bool = False,
+        by: float = math.inf,
     ) -> None:
         """Write a whole request; it has not been sent if this raises.
 
         With `look` the last byte waits a moment. It guards against connections that are dead without our
         knowing, dropped as idle or reset as the request comes in: without its last byte the request cannot
         have run, and even one that must not run twice may be sent anew. It costs each request that moment.
+        Such a request has `TooLate` raised where its last byte might arrive after `by`: the other side may
+        have been slow to take the rest, and the last byte needs some of a look's time for its way.
         """
         self.written, self.head, self.interim = False, b"", 0
         headers = [(b"Host", "{}:{}".format(*self.address).encode()), *headers]
@@ -78,6 +92,8 @@
         if look:
             await self.loop.sock_sendall(self.sock, data[:-1])
             await self.still_up()
+            if time.monotonic() + self.look_s > by:  # some loops' clocks stand still within a step
+                raise TooLate
             data = data[-1:]
         await self.loop.sock_sendall(self.sock, data)
         self.written = True
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -13,7 +13,7 @@
 import h11
 
 from crowpier.interface import Outcome, Settings, State
-from rushhitch.connection import Connection, Headers
+from rushhitch.connection import Connection, Headers, TooLate
 from rushhitch.partners.codec import Attempt, Codec, Ends
 from rushhitch.partners.platform import Platform, head_outcome
 
@@ -22,6 +22,7 @@
 MOST_ANSWER = 65_536
 ASK_S = 5.0  # a request without a message has its answer by then, or none
 REST_S = 0.5  # an answer that has begun comes to its end in that time, or it is spoilt
+LATE_LOOKS = 2.0  # before a window ends, a repeat begins: one is made, one is for its last byte's way
 IDLE_MARGIN = 0.1  # of the idle time of connections: so long before its end one is not used any more
 PLATFORM = Platform()
 
@@ -78,6 +79,11 @@
 Going = Callable[[list[Attempt]], None]  # hears which attempts of a call are to be written
 
 
+def start_by(attempts: list[Attempt]) -> float:
+    """When the first window of a call's keys ends."""
+    return min(attempt.start_by for attempt in attempts)
+
+
 class NoRoom(OSError):
     """All connections that may be open are, and each has a call on it."""
 
@@ -317,6 +323,8 @@
         except NoRoom as error:
             log.warning("not sent to %s: %s", call.endpoint, error)
             broken = Outcome.MOOT
+        except TooLate:
+            broken, call.recalled = Outcome.MOOT, True  # most of it is written: its connection is of no use
         except h11.ProtocolError as error:
             log.debug("the answer of %s is spoilt: %r", call.endpoint, error)
             broken = Outcome.ERROR
@@ -399,13 +407,14 @@
 
     def too_late(self, connection: Connection, attempts: list[Attempt]) -> bool:
         """Guards against a repeat that was decided in time and counts twice all the same: its connection took
-        longer to come up than was left. Its last byte goes out after a further look."""
-        return self.loop.time() + connection.look_s >= min(attempt.start_by for attempt in attempts)
+        longer to come up than was left. `Connection.send` looks again before the last byte."""
+        return self.loop.time() + LATE_LOOKS * connection.look_s >= start_by(attempts)
 
     async def request(self, connection: Connection, call: Call, attempts: list[Attempt]) -> None:
         left = min(attempt.stop_at for attempt in attempts) - self.loop.time()
         written = call.codec.write(attempts, left * 1000.0)
-        await connection.send("POST", written.target, written.headers, written.body, look=True)
+        by = start_by(attempts)
+        await connection.send("POST", written.target, written.headers, written.body, look=True, by=by)
 
     async def answer(self, connection: Connection, call: Call) -> Ends:
         """How each message ended. Guards against spoilt answers: one counts when the whole of it is read."""
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -5,13 +5,14 @@
 import json
 import signal
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 from bed import settings
 from doubles import WORTH, Program, run
 from lives import CALL_S, Life, Partner, virtual
 from test_endings import Unreached
+from test_endpoints import with_caller
 
 from crowpier import Dispatcher
 from crowpier.interface import (
@@ -27,9 +28,12 @@
     Send,
 )
 from lab.disk import CountingFiles
+from rushhitch import connection
+from rushhitch.connection import Connection
 from rushhitch.journal import Journal, Kept
 from rushhitch.journal.side import sealed
 from rushhitch.journal.steady import ahead_of
+from rushhitch.partners.codec import Attempt
 
 WINDOW_S = 1.0
 BERTH = {"name": "berth", "effect": "by_key", "group": "all", "windowMs": WINDOW_S * 1000.0} | WORTH
@@ -358,3 +362,57 @@
                 assert action.start_by_ms == 6000.0 - sent_ago_ms
                 return
     raise AssertionError("it was not repeated")
+
+
+# The last byte
+
+
+def test_a_repeat_whose_partner_is_slow_to_take_it_is_not_written_whole_after_its_window():
+    # Guards against the time from the decision to the last byte: the partner reads when the window is over.
+    @with_caller()
+    async def _(caller):
+        loop, read, gone = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
+        size, arrived = 20_000_000, 0  # more than the sockets' buffers hold
+
+        async def slow(reader, writer):
+            nonlocal arrived
+            await read.wait()
+            await reader.readuntil(b"\r\n\r\n")
+            while data := await reader.read(1 << 20):
+                arrived += len(data)
+            gone.set()
+
+        server = await asyncio.start_server(slow, "127.0.0.1", 0, limit=1024)
+        caller.list(server.sockets[0].getsockname())
+        start_by = loop.time() + 0.3
+        caller.endpoints.send("e1", [Attempt(1, 1, b"m1", bytes(size), start_by + 30.0, start_by=start_by)])
+        loop.call_at(start_by, read.set)
+        assert await caller.result() == (Outcome.MOOT, False, 0.0)
+        await gone.wait()
+        assert 0 < arrived < size and caller.endpoints.connections == 0
+        assert not caller.endpoints.idle, "a connection with half a request on it was kept"
+
+
+@pytest.mark.parametrize("left_s", [-0.01, 0.0, 0.01])
+def test_the_last_byte_of_a_repeat_stays_back_where_its_way_takes_it_past_its_window(monkeypatch, left_s):
+    look_s, start_by = 0.02, 0.0
+    looked = Connection.still_up
+
+    async def until_late(self):
+        await looked(self)
+        await asyncio.sleep(start_by - left_s - self.loop.time())
+
+    monkeypatch.setattr(connection, "LOOK_S", look_s)
+    monkeypatch.setattr(Connection, "still_up", until_late)
+
+    @with_caller(batch=3)
+    async def _(caller):
+        nonlocal start_by
+        loop = asyncio.get_running_loop()
+        start_by = loop.time() + 0.2
+        ages = (start_by, start_by + 1.0, start_by + 5.0)  # the oldest of a batch binds it
+        attempts = [Attempt(m, 1, b"m%d" % m, b"", loop.time() + 30.0) for m in range(3)]
+        caller.endpoints.send("e1", [replace(a, start_by=by) for a, by in zip(attempts, ages, strict=True)])
+        for _ in ages:
+            assert await caller.result() == (Outcome.MOOT, False, 0.0)
+        assert caller.partner.requests.empty()
