Answers to clients leave as they are written: TCP_NODELAY on accepted connections

Seen: `TCP_NODELAY` was 0 on every client connection. asyncio sets it only where a socket has the protocol's number (`_set_nodelay`: `sock.proto == IPPROTO_TCP`), and those that come out of a listener of `socket.create_server` have 0 (`Clients.accept`). So the second of two small answers waited in the system for the client's word on the first, and went with the connection where that was closed over unread bytes.

Looked at: `Connection.open` (partners, discovery, notices) sets it; listeners of `loop.create_server` (control, planning) have the number and get it from asyncio.

Change: `at_once`, for accepted connections and for those that another process passes on. The test fails without it.

--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -196,6 +196,15 @@
         self.read_on()
 
 
+def at_once(sock: socket.socket) -> None:
+    """Answers are small, and leave as they are written. Guards against one that the system holds back for the
+    word on the one before, and drops when the connection is closed over bytes that came in the same moment.
+    asyncio does it only for sockets that were made with the protocol's number, which those of a listener that
+    `socket.create_server` made are not."""
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 class Clients:
     """The listeners of all fronts and their connections, within bounds that they share."""
 
@@ -244,7 +253,7 @@
             except OSError as error:
                 log.error("a connection is not accepted: %s", error)
                 return False
-            sock.setblocking(False)
+            at_once(sock)
             task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: front(self), sock))
             self.accepted.add(task)
             task.add_done_callback(self.accepted.discard)
@@ -261,7 +270,7 @@
             _, client = await self.loop.connect_accepted_socket(lambda: front(self), sock)
             client.resume(tail, asked, heard_at)
 
-        sock.setblocking(False)
+        at_once(sock)
         task = self.loop.create_task(connect())
         self.accepted.add(task)
         task.add_done_callback(self.accepted.discard)
--- a/tests/test_fronts_resp2.py
+++ b/tests/test_fronts_resp2.py
@@ -1,6 +1,7 @@
 """The RESP2 server over loopback: answers in order, bad input, closing between requests."""
 
 import asyncio
+import socket
 
 import pytest
 from doubles import Client, run
@@ -348,3 +349,14 @@
         server.stop_listening()
         for client in waiting:
             assert await client.line() == b"+PONG\r\n"
+
+
+def test_no_answer_is_held_back_by_the_system():
+    # Guards against small answers that wait for the word on the one before, and go with a reset connection.
+    @with_server()
+    async def _(server, taker):
+        client = await connect(server)
+        assert await client.ask(b"PING") == b"+PONG\r\n"
+        (connection,) = server.clients
+        sock = connection.transport.get_extra_info("socket")
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
