--- a/rushhitch/core/handing.py
+++ b/rushhitch/core/handing.py
@@ -31,6 +31,13 @@
         await node.committer.quiet()
         return not node.journal.unsaved
 
+    async def end_calls(self) -> None:
+        """This process ends and no other carries its calls on. All that they prove is in the journal before
+        it is closed: later, it may be another process's."""
+        await self.node.endpoints.hear_out()
+        self.node.turn()  # who handed something in meanwhile is answered, too
+        await self.node.committer.quiet()
+
     def yield_all(self, report: Callable[[Result], None]) -> tuple[int, dict[str, Any]]:
         """Own nothing from now on but the calls that are out, whose results go to `report`. The descriptor
         that holds the folder, and what the process needs that goes on."""
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -23,6 +23,8 @@
 ASK_S = 5.0  # a request without a message has its answer by then, or none
 REST_S = 0.5  # an answer that has begun comes to its end in that time, or it is spoilt
 LATE_LOOKS = 2.0  # before a window ends, a repeat begins: one is made, one is for its last byte's way
+LAST_LOOK_S = 0.05  # at the end of the process: an answer that never ends is not read for longer
+QUIET_TURNS = 3  # of the loop, until what was read of an answer has reached its call
 IDLE_MARGIN = 0.1  # of the idle time of connections: so long before its end one is not used any more
 PLATFORM = Platform()
 
@@ -74,6 +76,7 @@
     written: bool = False  # its last byte has gone out
     recalled: bool = False  # it is not to go out any more
     begun: bool = False  # the journal tells of it
+    connection: Connection | None = None  # once it is up
 
 
 Going = Callable[[list[Attempt]], None]  # hears which attempts of a call are to be written
@@ -160,6 +163,20 @@
         for endpoint in list(self.idle):
             self.hang_up(endpoint)
 
+    async def hear_out(self) -> None:
+        """Before the process ends: what the system holds of answers counts, whole or as far as it proves
+        anything, and then the calls that are out end."""
+        until, quiet = self.loop.time() + LAST_LOOK_S, 0
+        while self.calls and quiet < QUIET_TURNS and self.loop.time() < until:
+            await asyncio.sleep(0)
+            written = (call.connection for call in self.calls.values() if call.written)
+            quiet = 0 if any(held is not None and not held.quiet() for held in written) else quiet + 1
+        tasks = {call.task for call in self.calls.values() if call.task is not None}
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+
     def forget(self, endpoint: str) -> None:
         """Guards against growth where endpoints come and go: of one that is gone only a wait is kept."""
         if not self.busy[endpoint]:
@@ -296,7 +313,7 @@
             # answer proves anything for the others, and to wait on would hold the slot for nothing.
             async with asyncio.timeout_at(min(attempt.stop_at for attempt in attempts)) as limit:
                 while connection is None:
-                    connection = await self.connected(call)
+                    connection = call.connection = await self.connected(call)
                     if not call.begun and not self.stopped(connection, call, attempts):
                         attempts = await self.admit(call, attempts)
                     if self.stopped(connection, call, attempts):
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -277,6 +277,7 @@
         except TimeoutError:
             pass
         await self.handing.freeze()  # what is not written whole has never run, and the journal says so
+        await self.handing.end_calls()
         held = len(self.journal.live)
         log.info("%s ends, %d messages stay in the journal", self.configuration.name, held)
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -9,10 +9,18 @@
 
 import pytest
 from bed import Bed
-from doubles import PATIENCE_S, Program, run
+from doubles import PATIENCE_S, ROOT, UNSAFE, WORTH, Program, run
+from test_benchlink import TOLD
 from test_endpoints import Caller
 
+from crowpier import Dispatcher
+from crowpier.benchlink import settings_of
 from crowpier.interface import Arrived, Entry, Outcome
+from rushhitch.connection import Connection
+from rushhitch.core.handing import Handing
+from rushhitch.core.node import Node
+from rushhitch.journal import Journal
+from rushhitch.taker import Offer
 
 SYN_SENT = "02"  # of a connection in /proc/net/tcp
 
@@ -274,3 +282,106 @@
         assert "discovery is at" in await program.log_line("SIGHUP: disc")
         client = await program.client()
         assert await client.ask(b"PING") == b"+PONG\r\n"
+
+
+FROZEN = """import os, sys, time
+import rushhitch.core.handing as handing
+freeze = handing.Handing.freeze
+async def frozen(self):
+    done = await freeze(self)
+    print("frozen", file=sys.stderr, flush=True)
+    while not os.path.exists(os.environ["GO_ON"]):
+        time.sleep(0.005)
+    return done
+handing.Handing.freeze = frozen
+"""
+
+
+@pytest.mark.parametrize("batch", [1, 4])
+def test_an_answer_that_comes_in_the_instant_of_the_exit_counts(tmp_path, monkeypatch, batch):
+    # The loop stands still from its last poll on, until the system has the answer: unsafe messages that were
+    # delivered would be told as failed.
+    (tmp_path / "sitecustomize.py").write_text(FROZEN)
+    monkeypatch.setenv("PYTHONPATH", f"{tmp_path}:{ROOT}")
+    monkeypatch.setenv("GO_ON", str(tmp_path / "go"))
+
+    @with_program(tmp_path, lambda folder: Program(folder, batch))
+    async def _(program):
+        await program.start()
+        client = await program.client()
+        for name in (b"m1", b"m2")[:batch]:
+            client.send(b"OUT.ADD", b"0", name, b"c=pay,d=24000,dest=7", b"x")
+        request = await program.partner.next()
+        program.process.send_signal(signal.SIGTERM)
+        await program.log_line("frozen")
+        request.answer(200, b"m1 accepted\r\nm2 fault\r\n" if batch > 1 else b"")
+        (tmp_path / "go").touch()
+        await program.process.wait()
+        left = program.journal().live.values()
+        assert [(kept.id, kept.ran is not None) for kept in left] == ([(b"m2", True)] if batch > 1 else [])
+        assert "cannot be written" not in (await program.process.stderr.read()).decode()
+
+
+async def at_the_exit(folder, answer, batch=1):
+    """A node with one call out, of unsafe messages, and a partner whose answer comes after the last poll;
+    what its journal tells then."""
+    told = json.loads(json.dumps(TOLD)) | {"categories": [UNSAFE | WORTH]}
+    told["familyInfo"]["batchByKind"] = [batch]
+    settings = settings_of(json.dumps(told).encode())
+    node = Node(settings, Dispatcher(settings, 1), Journal(folder, 3e6), lambda *end: None)
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.setblocking(False)
+    row = {"id": "e1", "addr": "{}:{}".format(*listener.getsockname()), "zone": "a", "kind": "firms"}
+    row |= {"cell": 7, "state": "SERVING", "weight": 1.0, "started_ms": 0}
+    node.listing.take({"version": 41, "full": True, "servers": [row]}, cached=True)
+    for number in range(batch):
+        node.offer(Offer(b"m%d" % number, "pay", 7, 9000.0, b"x"), lambda reply: None)
+    loop = asyncio.get_running_loop()
+    partner, _ = await loop.sock_accept(listener)
+    while node.endpoints.written < batch:
+        await asyncio.sleep(0.005)
+    handing = Handing(node)
+    await handing.freeze()
+    partner.sendall(answer)  # the loop has not polled since
+    started = loop.time()
+    await handing.end_calls()
+    assert loop.time() - started < 1.0 and not node.endpoints.calls
+    node.journal.close()
+    for sock in (partner, listener):
+        sock.close()
+    return [kept.ran is not None for kept in Journal(folder, 3e6, writable=False).messages()]
+
+
+WHOLE = b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("answer", "left"),
+    [
+        (b"", [True]),
+        (WHOLE % (200, 0), []),
+        (b"HTTP/1.1 200 OK\r\n", []),  # its first line is whole, and proves the delivery
+        (b"HTTP/1.1 200 OK", [True]),
+        (WHOLE % (503, 0), [False]),
+        (WHOLE[:-2] % (503, 0), [True]),
+        (WHOLE % (503, 1), [True]),
+        (WHOLE % (500, 0), [True]),
+    ],
+)
+def test_at_the_exit_an_answer_counts_for_no_more_than_it_proves(tmp_path, answer, left):
+    run(checked(tmp_path, answer, 1, left))
+
+
+@pytest.mark.parametrize(("missing", "left"), [(0, [True]), (1, [True, True])])
+def test_at_the_exit_half_an_answer_to_a_batch_counts_for_nothing(tmp_path, missing, left):
+    ends = b"m0 accepted\r\nm1 fault\r\n"
+    run(checked(tmp_path, WHOLE % (200, len(ends) + missing) + ends, 2, left))
+
+
+def test_at_the_exit_an_answer_that_never_ends_is_not_waited_for(tmp_path, monkeypatch):
+    monkeypatch.setattr(Connection, "quiet", lambda self: False)  # more has come at each look
+    run(checked(tmp_path, WHOLE % (200, 1), 1, []))
+
+
+async def checked(folder, answer, batch, left):
+    assert await at_the_exit(folder, answer, batch) == left
