--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -126,7 +126,7 @@
             bans,
             kept.history,
         )
-        node.ahead_s = ahead_of(journal, time.time(), self.loop.time(), boot_id())
+        node.ahead_s = ahead_of(journal, time.time(), time.monotonic(), boot_id())
         kept.take(configuration, node)
         self.kept = kept
         self.handshake = make_handshake(node, configuration.own)
