--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -13,7 +13,7 @@
 import h11
 
 from crowpier.interface import Outcome, Settings, State
-from rushhitch.connection import Connection, Headers
+from rushhitch.connection import Connection, Headers, TooLate
 from rushhitch.partners.codec import Attempt, Codec, Ends
 from rushhitch.partners.platform import Platform, head_outcome
 
@@ -22,6 +22,9 @@
 MOST_ANSWER = 65_536
 ASK_S = 5.0  # a request without a message has its answer by then, or none
 REST_S = 0.5  # an answer that has begun comes to its end in that time, or it is spoilt
+LATE_LOOKS = 2.0  # before a window ends, a repeat begins: one is made, one is for its last byte's way
+LAST_LOOK_S = 0.05  # at the end of the process: an answer that never ends is not read for longer
+QUIET_TURNS = 3  # of the loop, until what was read of an answer has reached its call
 IDLE_MARGIN = 0.1  # of the idle time of connections: so long before its end one is not used any more
 PLATFORM = Platform()
 
@@ -73,11 +76,17 @@
     written: bool = False  # its last byte has gone out
     recalled: bool = False  # it is not to go out any more
     begun: bool = False  # the journal tells of it
+    connection: Connection | None = None  # once it is up
 
 
 Going = Callable[[list[Attempt]], None]  # hears which attempts of a call are to be written
 
 
+def start_by(attempts: list[Attempt]) -> float:
+    """When the first window of a call's keys ends."""
+    return min(attempt.start_by for attempt in attempts)
+
+
 class NoRoom(OSError):
     """All connections that may be open are, and each has a call on it."""
 
@@ -154,6 +163,20 @@
         for endpoint in list(self.idle):
             self.hang_up(endpoint)
 
+    async def hear_out(self) -> None:
+        """Before the process ends: what the system holds of answers counts, whole or as far as it proves
+        anything, and then the calls that are out end."""
+        until, quiet = self.loop.time() + LAST_LOOK_S, 0
+        while self.calls and quiet < QUIET_TURNS and self.loop.time() < until:
+            await asyncio.sleep(0)
+            written = (call.connection for call in self.calls.values() if call.written)
+            quiet = 0 if any(held is not None and not held.quiet() for held in written) else quiet + 1
+        tasks = {call.task for call in self.calls.values() if call.task is not None}
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+
     def forget(self, endpoint: str) -> None:
         """Guards against growth where endpoints come and go: of one that is gone only a wait is kept."""
         if not self.busy[endpoint]:
@@ -290,7 +313,7 @@
             # answer proves anything for the others, and to wait on would hold the slot for nothing.
             async with asyncio.timeout_at(min(attempt.stop_at for attempt in attempts)) as limit:
                 while connection is None:
-                    connection = await self.connected(call)
+                    connection = call.connection = await self.connected(call)
                     if not call.begun and not self.stopped(connection, call, attempts):
                         attempts = await self.admit(call, attempts)
                     if self.stopped(connection, call, attempts):
@@ -317,6 +340,8 @@
         except NoRoom as error:
             log.warning("not sent to %s: %s", call.endpoint, error)
             broken = Outcome.MOOT
+        except TooLate:
+            broken, call.recalled = Outcome.MOOT, True  # most of it is written: its connection is of no use
         except h11.ProtocolError as error:
             log.debug("the answer of %s is spoilt: %r", call.endpoint, error)
             broken = Outcome.ERROR
@@ -399,13 +424,14 @@
 
     def too_late(self, connection: Connection, attempts: list[Attempt]) -> bool:
         """Guards against a repeat that was decided in time and counts twice all the same: its connection took
-        longer to come up than was left. Its last byte goes out after a further look."""
-        return self.loop.time() + connection.look_s >= min(attempt.start_by for attempt in attempts)
+        longer to come up than was left. `Connection.send` looks again before the last byte."""
+        return self.loop.time() + LATE_LOOKS * connection.look_s >= start_by(attempts)
 
     async def request(self, connection: Connection, call: Call, attempts: list[Attempt]) -> None:
         left = min(attempt.stop_at for attempt in attempts) - self.loop.time()
         written = call.codec.write(attempts, left * 1000.0)
-        await connection.send("POST", written.target, written.headers, written.body, look=True)
+        by = start_by(attempts)
+        await connection.send("POST", written.target, written.headers, written.body, look=True, by=by)
 
     async def answer(self, connection: Connection, call: Call) -> Ends:
         """How each message ended. Guards against spoilt answers: one counts when the whole of it is read."""
