Descriptors: clients, endpoints and the rest each have a share that the lower limit gives

With `sockets` 96 endpoints had a share of -8 and nothing was ever sent; the process held 113. - a connection counted among the clients only once it was set up, two turns after it was accepted: up to 45 beyond the bound were open. - at SIGTERM `accept_waiting` took the whole queue in one go, before anybody could give way. - a client that takes no answers and gives way was counted no more and kept its descriptor. - no descriptor for a connection counted against the endpoint (`CONNECT_FAILED`), and one that was missing for a batched sync ended the committer for good.

Change: `shares` goes by the lower limit; room is made as a connection is accepted; a failed accept rests for 0.1 s while a client gives way; those in the queue at the end are taken some at a time, for 1 s at most; who takes no answers is aborted; an idle connection gives way to a new one, else the call is `MOOT`; the sync is tried again.

--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import math
 import time
@@ -24,6 +25,7 @@
 REST_S = 0.5  # an answer that has begun comes to its end in that time, or it is spoilt
 IDLE_MARGIN = 0.1  # of the idle time of connections: so long before its end one is not used any more
 PLATFORM = Platform()
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +81,8 @@
 
 
 class NoRoom(OSError):
-    """All connections that may be open are, and each has a call on it."""
+    """No connection may be opened, or none can for want of a descriptor, and each one there has a call on it:
+    that says nothing of the endpoint."""
 
 
 class Endpoints:
@@ -214,18 +217,28 @@
 
     async def connect(self, endpoint: str) -> Connection:
         if self.connections >= self.most:
-            if not self.idle:
-                raise NoRoom(f"{self.most} connections are open")
-            longest = min(self.idle, key=lambda name: self.idle[name][0][1])
-            self.drop(longest, self.idle[longest][0])
+            self.let_one_go(f"{self.most} connections are open")
         self.connections += 1
         try:
             async with asyncio.timeout(self.settings.connect_timeout_ms / 1000.0):
-                return await Connection.open(self.places[endpoint].address)
+                while True:
+                    try:
+                        return await Connection.open(self.places[endpoint].address)
+                    except OSError as error:
+                        if error.errno not in NO_DESCRIPTOR:
+                            raise
+                        self.let_one_go(str(error))
         except BaseException:
             self.connections -= 1
             raise
 
+    def let_one_go(self, why: str) -> None:
+        """The connection that has idled longest makes room for another; a `NoRoom` where none idles."""
+        if not self.idle:
+            raise NoRoom(why)
+        longest = min(self.idle, key=lambda name: self.idle[name][0][1])
+        self.drop(longest, self.idle[longest][0])
+
     # Calls
 
     def send(self, endpoint: str, attempts: list[Attempt]) -> None:
--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -7,8 +7,9 @@
 import select
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from enum import Enum
+from typing import Any
 
 from rushhitch.fronts import admission
 from rushhitch.fronts.admission import Standing, order
@@ -20,7 +21,11 @@
 SWEEP_S = 0.25  # between two looks for such connections
 BACKLOG = 4096  # connections that may wait to be accepted (the machine may allow fewer). One that finds no
 # place there is not told so: its client tries again after 1, 2, 4, 8 and 16 s
-ACCEPTS = 16  # connections taken at once, so that a crowd does not hold up those who ask
+ACCEPTS = 16  # connections taken at once, so that a crowd does not hold up those who ask. As many at most are
+# on their way to be turned away: with those that close to make room, they take 2 * ACCEPTS descriptors more
+ACCEPT_REST_S = 0.1  # after a failed accept, as where no descriptor is left: the next one would fail at once
+ACCEPT_WAITING_S = 1.0  # those in the queue at the end are taken for so long: a crowd that comes again as
+# soon as it is closed never ends
 CHOSEN_S = 0.05  # for so long those who give way are taken from one choice: it goes over all connections
 
 
@@ -59,6 +64,7 @@
         self.full = False  # it does not take its answers
         self.deaf = False  # it sent what can't be read: nothing more is
         self.finishing = False  # it is closed as soon as no request is under way
+        self.placed: bool | None = None  # whether there was room for it as it was accepted
 
     def error(self, text: str, fault: Fault) -> bytes:
         """An error as the front's protocol has it, for what cannot be read."""
@@ -86,7 +92,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
-        if not self.server.make_room():
+        self.server.coming.pop(self, None)
+        if not (self.server.make_room() if self.placed is None else self.placed):
             self.refuse("too many clients are connected", Fault.CROWD)
         self.server.clients[self] = None
 
@@ -152,6 +159,9 @@
                 self.refuse("too many clients are connected", Fault.CROWD)
         else:
             self.finish()
+            if self.transport is not None and self.transport.is_closing():
+                if self.transport.get_write_buffer_size():
+                    self.transport.abort()  # it does not take its answers: it would keep its descriptor
         return self.transport is None or self.transport.is_closing()
 
     def close_between(self) -> None:
@@ -175,7 +185,10 @@
         standing = self.standing
         if self.transport is None:
             return
-        if self.deaf:
+        if self.transport.is_closing():
+            if now - self.heard_at >= admission.SILENT_S:
+                self.transport.abort()  # it does not take its last answers
+        elif self.deaf:
             if now - self.heard_at >= admission.SILENT_S:
                 self.transport.abort()  # it does not take its last answer
         elif standing.overdue(now):
@@ -207,6 +220,8 @@
         self.leaving: deque[ClientConnection] = deque()  # who gives way next, as of `chosen_at`
         self.chosen_at = float("-inf")
         self.accepted: set[asyncio.Task] = set()
+        self.coming: dict[ClientConnection, None] = {}  # accepted, and not set up yet
+        self.resting: dict[socket.socket, asyncio.TimerHandle] = {}  # listeners that cannot accept just now
         self.listeners: list[socket.socket] = []
         self.fronts: dict[str, Callable[[Clients], ClientConnection]] = {}  # by name, as their listeners
 
@@ -235,6 +250,8 @@
     def accept(self, listener: socket.socket, front: Callable[[Clients], ClientConnection]) -> bool:
         """Whether more may be waiting."""
         for _ in range(ACCEPTS):
+            if sum(not client.placed for client in self.coming) >= ACCEPTS:
+                return True
             try:
                 sock, _ = listener.accept()
             except ConnectionAbortedError:
@@ -243,13 +260,39 @@
                 return False
             except OSError as error:
                 log.error("a connection is not accepted: %s", error)
+                self.rest(listener, front)
                 return False
             sock.setblocking(False)
-            task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: front(self), sock))
-            self.accepted.add(task)
-            task.add_done_callback(self.accepted.discard)
+            client = front(self)
+            client.placed = self.make_room()  # now: until it is set up, as many more may be accepted
+            self.coming[client] = None
+            self.keep(self.set_up(client, sock))
         return True
 
+    async def set_up(self, client: ClientConnection, sock: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: client, sock)
+        finally:
+            self.coming.pop(client, None)
+
+    def keep(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(work)
+        self.accepted.add(task)
+        task.add_done_callback(self.accepted.discard)
+
+    def rest(self, listener: socket.socket, front: Callable[[Clients], ClientConnection]) -> None:
+        """Guards against a loop that does nothing but fail to accept: the connection stays in the queue. One
+        client gives way meanwhile, since others may want its descriptor as well."""
+
+        def go_on() -> None:
+            del self.resting[listener]
+            self.loop.add_reader(listener, self.accept, listener, front)
+
+        if listener not in self.resting:
+            self.loop.remove_reader(listener)
+            self.resting[listener] = self.loop.call_later(ACCEPT_REST_S, go_on)
+            self.make_way()
+
     def adopt(self, sock: socket.socket, name: str, tail: bytes, asked: bool, heard_at: float) -> None:
         """A client's connection that another process has passed on."""
         front = self.fronts.get(name)
@@ -262,9 +305,7 @@
             client.resume(tail, asked, heard_at)
 
         sock.setblocking(False)
-        task = self.loop.create_task(connect())
-        self.accepted.add(task)
-        task.add_done_callback(self.accepted.discard)
+        self.keep(connect())
 
     @property
     def address(self) -> tuple[str, int]:
@@ -277,8 +318,10 @@
 
     def make_room(self) -> bool:
         """Guards against crowds: where there are too many, the first in `admission.order` gives way."""
-        if len(self.clients) < self.most:
-            return True
+        return len(self.clients) + len(self.coming) < self.most or self.make_way()
+
+    def make_way(self) -> bool:
+        """Whether a client gives way."""
         now = self.loop.time()
         if now - self.chosen_at < CHOSEN_S and self.let_go(now, strangers=True):
             return True
@@ -305,22 +348,26 @@
     def pause_listening(self) -> None:
         """Leave those who come in the queue, for this process or another to accept."""
         for listener in self.listeners:
+            if (timer := self.resting.pop(listener, None)) is not None:
+                timer.cancel()
             self.loop.remove_reader(listener)
 
     def resume_listening(self) -> None:
         for listener, front in zip(self.listeners, self.fronts.values(), strict=True):
             self.loop.add_reader(listener, self.accept, listener, front)
 
-    def accept_waiting(self) -> None:
-        """Take all who have come. To close a listener resets those who wait in its queue, unless another
-        process has it too."""
+    async def accept_waiting(self) -> None:
+        """Take all who have come, some at a time: each takes a descriptor until another has given way. To
+        close a listener resets those who wait in its queue, unless another process has it too."""
+        self.pause_listening()
+        until = self.loop.time() + ACCEPT_WAITING_S
         for listener, front in zip(self.listeners, self.fronts.values(), strict=True):
-            while self.accept(listener, front):
-                pass
+            while self.accept(listener, front) and self.loop.time() < until:
+                await asyncio.sleep(0)
 
     def stop_listening(self) -> None:
+        self.pause_listening()
         for listener in self.listeners:
-            self.loop.remove_reader(listener)
             listener.close()
 
     def finish(self) -> None:
--- a/rushhitch/journal/commit.py
+++ b/rushhitch/journal/commit.py
@@ -11,6 +11,8 @@
 
 log = logging.getLogger(__name__)
 
+RETRY_S = 0.05  # between two tries of a sync for which there was no descriptor
+
 Callback = Callable[[], None]
 
 
@@ -42,8 +44,13 @@
         """Sync group after group while anything waits."""
         loop = asyncio.get_running_loop()
         while self.waiting:
-            group, told = self.journal.sync_group(), self.waiting
-            self.waiting = []
+            try:
+                group = self.journal.sync_group()
+            except OSError as error:  # no descriptor is left: nobody is told anything yet
+                log.error("the journal's sync waits: %s", error)
+                await asyncio.sleep(RETRY_S)
+                continue
+            told, self.waiting = self.waiting, []
             broken = False
             if group is not None:
                 try:
--- a/rushhitch/journal/store.py
+++ b/rushhitch/journal/store.py
@@ -456,11 +456,18 @@
 
     def sync_group(self) -> SyncGroup | None:
         """What was flushed so far, to be made safe; None if it is. Its `run` may go on in another thread
-        beside further flushes."""
+        beside further flushes. An `OSError` where no descriptor is left: then nothing has changed."""
         due = [s for s in self.segments if s.fd >= 0 and (s.safe < s.size or not s.named)]
         if not due and not self.unlinked:
             return None
-        parts = [(segment, self.files.twin(segment.fd), segment.size) for segment in due]
+        parts: list[tuple[Segment, int, int]] = []
+        try:
+            for segment in due:
+                parts.append((segment, self.files.twin(segment.fd), segment.size))
+        except OSError:
+            for _, fd, _ in parts:
+                self.files.close(fd)
+            raise
         return SyncGroup(self, parts, self.unlinked or not all(segment.named for segment in due))
 
     def distrust(self) -> None:
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import random
+import resource
 import signal
 import socket
 from collections.abc import Callable, Mapping
@@ -25,7 +26,7 @@
     read_configuration,
 )
 from rushhitch.control.bans import Bans
-from rushhitch.control.server import Control
+from rushhitch.control.server import MOST_CALLERS, Control
 from rushhitch.control.words import TAKES_ID, BadCommand, Refused, answer, parse
 from rushhitch.core.figures import Figures
 from rushhitch.core.handing import Handing
@@ -56,8 +57,12 @@
 ACCEPT_S = 0.6  # after SIGTERM: connections go on coming for a while
 FINISH_S = 2.0  # after SIGTERM: connections stay so long; their clients would crowd other dispatchers
 LEAVE_S = 3.3  # after SIGTERM: what is not over by then stays in the journal
-OWN_FILES = 48  # descriptors for the process itself, discovery, and connections that are being closed
+OWN_FILES = 48  # descriptors kept from clients and endpoints: some 12 for the process itself (log, loop,
+# lock, listeners, the newest segment), 2 for the watch and notices, 2 for files that are replaced or read
+# again, and 2 * `ACCEPTS` for clients that come to be turned away, or are closed to make room
+CALLER_FILES = MOST_CALLERS + 4  # likewise for operators and a successor, where the control address is on
 CLIENT_SHARE = 1 / 3  # of the descriptors: clients hold so many at most for requests
+LEAST_SHARE = 4  # descriptors for clients and as many for endpoints, however few there are
 BEGUN_SHARE = 0.1  # of the memory: requests that are half sent take so much at most
 SETTINGS = "settings"  # the file in the folder that lasts which has their history
 SIZE_S = 0.5  # between two looks at how many dispatchers may be acting, where there is membership
@@ -108,7 +113,7 @@
         self.loop = asyncio.get_running_loop()
         self.journal = journal = inheritance.journal
         bans, kept = Bans(journal), KeptSettings(journal)
-        most_clients = int(CLIENT_SHARE * configuration.sockets) + SPARE_CLIENTS
+        most_clients, most_connections = shares(configuration)
         self.notices = Notices(configuration.discovery, lambda number: node.notice_heard(number))
         spoken = codecs(configuration.own)
         check_classes(configuration)
@@ -118,7 +123,7 @@
             Dispatcher(settings, configuration.seed),
             journal,
             self.notices.add,
-            configuration.sockets - most_clients - OWN_FILES,
+            most_connections,
             spoken,
             configuration.own.events.remember_s if configuration.own.events is not None else 0.0,
             bans,
@@ -262,10 +267,11 @@
         node, clients = self.node, self.clients
         log.info("%s is leaving, %d messages held", self.configuration.name, len(node.by_id))
         node.leaving(leave_at)
+        finish_at = self.loop.time() + FINISH_S
         await asyncio.sleep(ACCEPT_S)
-        clients.accept_waiting()
+        await clients.accept_waiting()
         clients.stop_listening()
-        await asyncio.sleep(FINISH_S - ACCEPT_S)
+        await asyncio.sleep(finish_at - self.loop.time())
         clients.finish()
         try:
             async with asyncio.timeout_at(leave_at):
@@ -296,6 +302,21 @@
         self.journal.close()
 
 
+def shares(configuration: Configuration) -> tuple[int, int]:
+    """How many connections clients may hold, and how many there may be to endpoints. The system's limit on
+    descriptors counts where it is lower than the platform's. Nobody takes of another's share: idle clients
+    never hold up a call, the watch or the journal."""
+    descriptors, system = configuration.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if system != resource.RLIM_INFINITY:
+        descriptors = min(descriptors, system)
+    rest = descriptors - OWN_FILES - (CALLER_FILES if configuration.control is not None else 0)
+    if rest < 2 * LEAST_SHARE:
+        log.warning("%d descriptors are too few: clients may be shut out, or calls not sent", descriptors)
+        rest = 2 * LEAST_SHARE
+    clients = min(int(CLIENT_SHARE * descriptors) + SPARE_CLIENTS, rest // 2)
+    return clients, rest - clients
+
+
 def make_planners(node: Node, configuration: Configuration) -> PlannerClient:
     """The forwarder's part: it counts, reports and is guided."""
     from rushhitch.planning.client import PlannerClient  # with its libraries: only where it is on
--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import resource
 import socket
 import struct
 import sys
@@ -68,8 +69,8 @@
         self.connections = 0
         self.server: asyncio.Server | None = None
 
-    async def start(self) -> Peer:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> Peer:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
         self.address = self.server.sockets[0].getsockname()
         return self
 
@@ -87,6 +88,11 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             over.set()
 
+    def stop(self) -> None:
+        """New connections are refused; those that there are stay."""
+        assert self.server is not None, "it was started"
+        self.server.close()
+
     async def next(self) -> Request:
         return await self.requests.get()
 
@@ -104,6 +110,8 @@
         (folder / "state").mkdir(exist_ok=True)
         self.process: asyncio.subprocess.Process | None = None
         self.log: list[str] = []
+        self.listen, self.sockets, self.disk_mb = "127.0.0.1:0", 1024, 3.0
+        self.descriptors: int | None = None  # the system's limit on them, where it has a lower one
 
     async def surroundings(self) -> Program:
         self.partner, self.platform = await Peer().start(), await Peer().start()
@@ -119,10 +127,10 @@
         row |= {"state": "SERVING", "weight": 1.0, "started_ms": 0}
         return {
             "name": "n0",
-            "listen": "127.0.0.1:0",
+            "listen": self.listen,
             "discovery": "{}:{}".format(*self.platform.address),
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets, "disk_mb": self.disk_mb},
             "known": {"version": 41, "full": True, "servers": [row]},
             "settings": settings,
         }
@@ -134,11 +142,18 @@
         env |= {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(self.folder / "state")}
         env["ROUTER_DISCOVERY"] = self.first_discovery
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "rushhitch", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
+            *(sys.executable, "-m", "rushhitch"),
+            cwd=ROOT,
+            env=env,
+            stderr=asyncio.subprocess.PIPE,
+            preexec_fn=self.limit if self.descriptors else None,
         )
         line = await self.log_line(" is ready on ")
         self.port = int(line.split(" is ready on ")[1].split(",")[0].split(":")[1])
 
+    def limit(self) -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
+
     async def log_line(self, part: str) -> str:
         while line := (await self.process.stderr.readline()).decode():
             self.log.append(line)
@@ -183,5 +198,8 @@
     async def line(self) -> bytes:
         return await self.reader.readline()
 
-    async def add(self, name: bytes, cls: str = "note", left_ms: int = 6000, body: bytes = b"hello") -> bytes:
-        return await self.ask(b"OUT.ADD", b"0" * 16, name, f"c={cls},d={left_ms},dest=7".encode(), body)
+    async def add(
+        self, name: bytes, cls: str = "note", left_ms: int = 6000, body: bytes = b"hello", dest: int = 7
+    ) -> bytes:
+        told = f"c={cls},d={left_ms},dest={dest}".encode()
+        return await self.ask(b"OUT.ADD", b"0" * 16, name, told, body)
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,297 @@
+"""Descriptors are few, and idle clients take all they are let have: the rest of the program finds its own."""
+
+import asyncio
+import contextlib
+import errno
+import json
+import os
+import resource
+import signal
+import socket
+import time
+
+import pytest
+from doubles import Client, Peer, Program, run
+from test_endpoints import with_caller
+from test_fronts_resp2 import connect, with_server
+from test_journal_sync import kept
+
+from crowpier.interface import Outcome, State
+from rushhitch.endpoints import Place
+from rushhitch.fronts import listener
+from rushhitch.journal import Journal, Sync
+from rushhitch.journal.commit import Committer
+from rushhitch.journal.files import Files
+
+FEW = 96  # descriptors of the process
+CROWD = 200  # idle clients: more than the process could hold
+AGAIN_S = 0.5  # one that is closed comes again after so long
+MOST_S = 2.0  # a client with work is let in by then, however many come
+
+
+class Crowd:
+    """Clients that connect and rest, every second one after a PING, and come again when they are closed."""
+
+    def __init__(self, address):
+        self.address = address
+        self.tasks = [asyncio.ensure_future(self.stay(number % 2 == 0)) for number in range(CROWD)]
+        self.came = self.closed = 0
+        self.brim = asyncio.Event()  # one was closed or shut out: no more are let in
+
+    async def stay(self, asks):
+        while True:
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection(*self.address)
+                try:
+                    self.came += 1
+                    if asks:
+                        Client(reader, writer).send(b"PING")
+                    await reader.read()
+                    self.closed += 1
+                    if self.came > CROWD // 2:
+                        self.brim.set()
+                finally:
+                    writer.close()
+            await asyncio.sleep(AGAIN_S)
+
+    async def go(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.wait(self.tasks)
+
+
+class Descriptors:
+    """Looks at how many the process holds."""
+
+    def __init__(self, program):
+        self.program, self.most = program, 0
+        self.task = asyncio.ensure_future(self.look())
+
+    async def look(self):
+        while True:
+            with contextlib.suppress(OSError):
+                self.most = max(self.most, len(os.listdir(f"/proc/{self.program.process.pid}/fd")))
+            await asyncio.sleep(0.005)
+
+
+async def served(program, name, cls="note", body=b"hello", dest=7):
+    """A client with work comes, and tries again where it is shut out, as the protocol lets it."""
+    async with asyncio.timeout(MOST_S):
+        while True:
+            with contextlib.suppress(OSError):
+                client = await program.client()
+                try:
+                    answer = await client.add(name, cls, 6000, body, dest)
+                    if answer and b"too many" not in answer and b"unknown destination" not in answer:
+                        return answer
+                finally:
+                    client.writer.close()
+            await asyncio.sleep(0.02)
+
+
+async def take(partner, name):
+    """The partner is called with that message, and delivers it; others meanwhile are not answered."""
+    while (request := await partner.next()).headers["x-correlation-id"] != name:
+        pass
+    request.answer(200)
+
+
+async def watched(platform):
+    while not (request := await platform.next()).target.startswith("/discovery/hosts?watch=1"):
+        pass
+    return request
+
+
+def segments(program):
+    return sorted(int(p.name[8:-4]) for p in (program.folder / "state").glob("segment-*"))
+
+
+@pytest.mark.parametrize(
+    "descriptors, sockets", [(FEW, 1024), (None, FEW)], ids=["the system has few", "the platform allows few"]
+)
+def test_with_idle_clients_to_the_brim_over_a_restart_without_discovery_all_else_goes_on(
+    tmp_path, descriptors, sockets
+):
+    async def work():
+        program = await Program(tmp_path).surroundings()
+        program.descriptors, program.sockets, program.disk_mb = descriptors, sockets, 0.3
+        await program.start()
+        program.listen = f"127.0.0.1:{program.port}"
+        crowd, look = Crowd(("127.0.0.1", program.port)), Descriptors(program)
+        try:
+            watch = await watched(program.platform)
+            await crowd.brim.wait()
+            address = program.platform.address
+            program.platform.stop()
+            watch.reset()
+            await program.log_line("watch ended")
+            assert await served(program, b"m1") == b"+OK\r\n"
+            await take(program.partner, "m1")
+            program.process.send_signal(signal.SIGTERM)
+            await program.log_line(" messages stay in the journal")
+            assert await program.process.wait() == 0
+            crowd.brim.clear()
+            await program.start()
+            await crowd.brim.wait()
+            await program.log_line("watch ended")
+            program.platform = await Peer().start(address[1])
+            watch = await watched(program.platform)
+            watch.start_watch()
+            program.partner = await Peer().start()
+            row = program.config()["known"]["servers"][0] | {"id": "e2", "cell": 8}
+            watch.chunk(json.dumps({"version": 42, "full": False, "servers": [row]}))
+            first = max(segments(program))
+            assert await served(program, b"held", "pay", dest=8) == b"+OK\r\n"
+            held = await program.partner.next()  # not answered, so that its segment cannot simply go
+            for number in range(14):  # each segment takes one of them, and half of the folder some twelve
+                assert await served(program, b"m%d" % number, "note", bytes(12_000), 8) == b"+OK\r\n"
+                await take(program.partner, f"m{number}")
+            assert max(segments(program)) >= first + 10 and min(segments(program)) > first
+            held.answer(500)
+            assert await program.notice() == {"ref": "held", "result": "dead"}
+            program.process.send_signal(signal.SIGHUP)
+            await program.log_line("SIGHUP: discovery is at")
+            assert look.most <= FEW
+            assert not [line for line in program.log if "Too many open files" in line]
+        finally:
+            await crowd.go()
+            look.task.cancel()
+            if program.process.returncode is None:
+                await program.kill()
+
+    run(work())
+
+
+def held_here():
+    return len(os.listdir("/proc/self/fd"))
+
+
+@contextlib.contextmanager
+def none_left():
+    """This process gets no further descriptor."""
+    free = os.dup(0)
+    os.close(free)
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_without_a_descriptor_an_idle_connection_gives_way_and_else_the_endpoint_is_not_blamed():
+    @with_caller()
+    async def _(caller):
+        other = await Peer().start()
+        caller.endpoints.place("e2", Place(other.address, 8, 1, State.READY))
+        caller.send(1)
+        request = await caller.partner.next()
+        with none_left():
+            caller.send(2, endpoint="e2")
+            assert await caller.result() == (Outcome.MOOT, False, 0.0)
+        request.answer(200)
+        assert await caller.result() == (Outcome.OK, True, 0.0)
+        with none_left():
+            caller.send(3, endpoint="e2")
+            assert await request.ended(), "the idle connection did not give way"
+        await other.next()
+        assert caller.endpoints.connections == 1
+
+
+def test_without_a_descriptor_accepting_rests_and_a_client_gives_way(monkeypatch):
+    # Guards against a loop that fails to accept again and again: it took a whole core.
+    @with_server()
+    async def _(server, taker):
+        client = await connect(server)
+        assert await client.ask(b"PING") == b"+PONG\r\n"
+        came = socket.socket()
+        with none_left():
+            monkeypatch.setattr(listener, "ACCEPT_REST_S", 0.3)
+            began, used = server.loop.time(), time.process_time()
+            came.connect(server.address)
+            assert await client.line() == b"", "nobody gave way"
+            came.sendall(b"*1\r\n$4\r\nPING\r\n")
+            came.setblocking(False)
+            assert await server.loop.sock_recv(came, 100) == b"+PONG\r\n"
+        assert server.loop.time() - began >= 0.25
+        assert time.process_time() - used < 0.15
+        came.close()
+        server.stop_listening()
+
+
+def test_those_in_the_queue_at_the_end_are_taken_some_at_a_time():
+    @with_server(most=32)
+    async def _(server, taker):
+        server.pause_listening()
+        waiting = [await connect(server) for _ in range(400)]
+        before, most = held_here(), 0
+
+        async def look():
+            nonlocal most
+            while True:
+                most = max(most, held_here() - before)
+                await asyncio.sleep(0)
+
+        looking = asyncio.ensure_future(look())
+        await server.accept_waiting()
+        server.stop_listening()
+        waiting[-1].send(b"PING")
+        assert await waiting[-1].line() == b"+PONG\r\n", "the last in the queue was reset"
+        looking.cancel()
+        assert most <= 32 + 2 * listener.ACCEPTS
+        for client in waiting:
+            client.writer.close()
+
+
+def test_who_takes_no_answers_and_gives_way_gives_its_descriptor_back():
+    # Guards against connections that are counted no more and stay open until their clients go.
+    @with_server(most=8)
+    async def _(server, taker):
+        server.listeners[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        crowd = []
+        for _ in range(8):
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            sock.connect(server.address)
+            sock.sendall(b"*1\r\n$4\r\nPING\r\n" * 2_000)  # whose answers fill what lies between
+            crowd.append(sock)
+        while len(server.clients) < 8 or any(c.resting or not c.asked for c in server.clients):
+            await asyncio.sleep(0.01)
+        assert all(client.transport.get_write_buffer_size() for client in server.clients)
+        before = held_here()
+        clients = []
+        for _ in range(8):
+            clients.append(await connect(server))
+            assert await clients[-1].ask(b"PING") == b"+PONG\r\n"
+        assert held_here() <= before + 8, "those who gave way are still held"
+        for sock in crowd:
+            sock.close()
+        for client in clients:
+            client.writer.close()
+
+
+def test_a_sync_without_a_descriptor_is_tried_again_and_told_then(tmp_path):
+    # Guards against a committer that is dead after that: nobody would be answered any more.
+    class Few(Files):
+        left = 0
+
+        def twin(self, fd):
+            if not self.left:
+                raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+            return super().twin(fd)
+
+    async def work():
+        files = Few(tmp_path)
+        journal = Journal(tmp_path, 1e6, Sync.BATCH, files)
+        committer, told = Committer(journal), asyncio.Queue()
+        journal.take(kept(1))
+        committer.commit(lambda: told.put_nowait("done"), lambda: told.put_nowait("failed"))
+        await asyncio.sleep(0.02)
+        assert told.empty()
+        files.left = 1
+        assert await told.get() == "done"
+        await committer.quiet()
+        committer.close()
+        journal.close()
+
+    run(work())
--- a/tests/test_fronts_resp2.py
+++ b/tests/test_fronts_resp2.py
@@ -344,7 +344,7 @@
         waiting = [await connect(server) for _ in range(40)]
         for client in waiting:
             client.send(b"PING")
-        server.accept_waiting()
+        await server.accept_waiting()
         server.stop_listening()
         for client in waiting:
             assert await client.line() == b"+PONG\r\n"
