Decisions: those who wait are weighed once a moment, not anew for each call

Need: nine in ten restarted processes are ready within 10 s, also with many messages held, on a share of a core.

Cause: `dispatch` asked `best_held` after each call, and `waiting` weighed and sorted all that the destination held each time.

Change: `waiting` keeps its line for the moment and leaves out who has gone. Within a moment nothing else changes it but the backlog, and where that changes it is made anew. What goes is the same: a test plays 150 moments, free and guided, against one that weighs anew for each call.

Tried and left out: to give the module 128 of the resumed messages a turn.

Left: `shed` weighs all of the longest destination for each message past nine tenths of `max_held`.

--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -352,6 +352,7 @@
         self.wakes_at = self.leaves_at = math.inf
         self.parked: deque[tuple[float, Endpoint]] = deque()  # connections in the order of falling idle
         self.keep, self.keep_at = settings.conn_idle_ms, 0.0
+        self.lines: dict[Destination, tuple[float | None, list[Message]]] = {}  # see `waiting`
         self.proven, self.proven_at = 0.0, -math.inf  # the longest idling of late that did no harm
         self.asks, self.ask_at = 0, -math.inf if settings.subscribes else math.inf
 
@@ -1008,8 +1009,17 @@
         return self.now + LEAVE_CALLS * self.usual_call(message) > self.leaves_at
 
     def waiting(self, destination: Destination) -> list[Message]:
-        held = [m for m in destination.held.values() if self.ready(m)]
-        return sorted(held, key=self.urgency, reverse=True)
+        """Who may go, the most urgent first. Within a moment that changes by who has gone and the backlog
+        alone. It guards against a full house: to weigh all that are held anew for each call took a second
+        for some thousands."""
+        backlog, line = self.lines.get(destination, (None, []))
+        if backlog == destination.backlog:
+            line = [m for m in line if m.id in destination.held]
+        else:
+            held = [m for m in destination.held.values() if self.ready(m)]
+            line = sorted(held, key=self.urgency, reverse=True)
+        self.lines[destination] = destination.backlog, line
+        return line
 
     def best_held(self, destination: Destination) -> tuple[float, Message, list[Endpoint]] | None:
         if not destination.held or len(destination.calls) >= self.cap(destination):
@@ -1034,6 +1044,7 @@
     def dispatch(self) -> None:
         """Send the most urgent messages while slots last."""
         choices = {}
+        self.lines.clear()
         if self.used < self.settings.slots:
             self.slow = {endpoint for endpoint in self.endpoints.values() if self.is_slow(endpoint)}
             bests = ((number, self.best_held(held)) for number, held in self.destinations.items())
--- /dev/null
+++ b/tests/test_full_house.py
@@ -0,0 +1,67 @@
+"""Many messages are held: what the decisions weigh for them is bounded, and comes out as if weighed anew."""
+
+import random
+
+import pytest
+from bed import KEYED, ORDERED, SAFE, UNSAFE, Bed
+
+from crowpier import Dispatcher
+from crowpier.interface import Allowed, Entry, Outcome
+
+HELD = 400
+ENDPOINTS = [Entry(f"e{n}", 1 + n % 2, zone=n % 2, kind=2 * (n % 3 == 0)) for n in range(6)]
+
+
+class Anew(Dispatcher):
+    """Weighs all that are held for each call."""
+
+    def waiting(self, destination):
+        held = [message for message in destination.held.values() if self.ready(message)]
+        return sorted(held, key=self.urgency, reverse=True)
+
+
+def test_those_who_wait_are_weighed_once_a_moment_and_not_for_each_call(monkeypatch):
+    # Guards against a start with thousands of messages that takes a second of a core before it answers.
+    weighed = 0
+    urgency = Dispatcher.urgency
+
+    def counted(self, message):
+        nonlocal weighed
+        weighed += 1
+        return urgency(self, message)
+
+    monkeypatch.setattr(Dispatcher, "urgency", counted)
+    bed = Bed(Entry("one", 1), slots=100, max_held=2 * HELD)
+    bed.arrive_together(*range(HELD))
+    calls = len(bed.sends())
+    assert calls >= 30
+    assert weighed <= HELD + 2 * calls + 2, "more than each once, and the one that goes"
+
+
+@pytest.mark.parametrize("guided", [False, True], ids=["free", "guided"])
+def test_what_goes_is_what_goes_where_all_are_weighed_anew_for_each_call(guided):
+    def played(kind):
+        bed, chance = (
+            Bed(*ENDPOINTS, slots=12, max_held=2 * HELD, may_cancel=True),
+            random.Random("full house"),
+        )
+        bed.dispatcher = kind(bed.settings, seed=5)
+        bed.list(*ENDPOINTS)
+        told, number = [], 0
+        for _ in range(150):
+            events = []
+            for _ in range(chance.randrange(20)):
+                number += 1
+                cls = chance.choice((SAFE, KEYED, UNSAFE, ORDERED))
+                events.append(bed.arrival(number, cls, chance.choice((1, 2)), chance.choice((0, 0, 1, 2))))
+            if guided and chance.random() < 0.3:
+                events.append(Allowed(chance.choice((1, 2)), chance.choice((2.0, 20.0, 200.0))))
+            for message, attempt in chance.sample(sorted(bed.out), len(bed.out) // 2):
+                outcome = chance.choices((Outcome.OK, Outcome.ERROR, Outcome.FULL), (8, 1, 1))[0]
+                events.append(bed.outcome(message, outcome, attempt, 300.0))
+            told.append(bed.feed(*events))
+            bed.pass_ms(chance.choice((5.0, 40.0, 200.0)))
+        assert max(len(moment) for moment in told) >= 5
+        return told
+
+    assert played(Dispatcher) == played(Anew)
