Start: what only planners and sharing need is imported where they are on

Need: a start costs some 0.35 s of CPU before anything is held, nearly all of it imports; on a share of a core that is seconds. core/limits.py and service.py imported three modules of planning for their types alone.

They are imported where they are on now; a test names what a start must not import.

--- a/rushhitch/core/limits.py
+++ b/rushhitch/core/limits.py
@@ -6,11 +6,14 @@
 import math
 from collections.abc import Callable, Mapping
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from crowpier import interface as api
-from rushhitch.planning.counts import LaneCounts
-from rushhitch.planning.guidance import Allowance
-from rushhitch.planning.messages import LaneReport
+
+if TYPE_CHECKING:
+    from rushhitch.planning.counts import LaneCounts
+    from rushhitch.planning.guidance import Allowance
+    from rushhitch.planning.messages import LaneReport
 
 STATED_MS = 1_000.0  # a partner's stated limit holds so long in the decision module, unless told again
 
@@ -81,6 +84,8 @@
         """Limits in calls a second that partners state, by lane: to all dispatchers together, so each keeps
         to its part. The decision module hears of them as of planners' grants, which run out after a second:
         call it more often."""
+        from rushhitch.planning.guidance import Allowance  # only where partners state any
+
         self.stated = {lane: self.part(lane, per_s) for lane, per_s in rates.items()}
         now = self.loop.time()
         self.granted = {lane: held for lane, held in self.granted.items() if held[0] > now}
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -40,7 +40,6 @@
 from rushhitch.journal import Journal
 from rushhitch.journal.side import Side, unsealed
 from rushhitch.partners.codec import Codec
-from rushhitch.planning.counts import LaneCounts
 from rushhitch.succession.handover import Handover
 from rushhitch.succession.states import Do
 from rushhitch.succession.takeover import Inheritance, Takeover
@@ -320,6 +319,7 @@
 def make_planners(node: Node, configuration: Configuration) -> PlannerClient:
     """The forwarder's part: it counts, reports and is guided."""
     from rushhitch.planning.client import PlannerClient  # with its libraries: only where it is on
+    from rushhitch.planning.counts import LaneCounts
 
     node.limits.counts = LaneCounts([cls.worth for cls in configuration.settings.classes])
     own, name = configuration.own, configuration.name
@@ -341,7 +341,8 @@
     """This dispatcher's part of the limits that partners state, where members share them."""
     if (told := configuration.own.sharing) is None or member is None:
         return None
-    from rushhitch.sharing import server  # with its library: only where it is on
+    from rushhitch.planning.counts import LaneCounts  # with its library: only where it is on
+    from rushhitch.sharing import server
 
     node.limits.counts = LaneCounts([cls.worth for cls in configuration.settings.classes])
     name, fleet = member.told.name, member.detector.table.fleet
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -1,7 +1,11 @@
 """Imports form no circle, and no package reaches up: `LAYERS` has them from the top down."""
 
+import subprocess
+import sys
+
 import grimp
 import pytest
+from doubles import ROOT
 
 LAYERS = (
     "rushhitch.__main__",
@@ -97,3 +101,15 @@
     assert reaching_up({"rushhitch.journal.store": ["rushhitch.core.node", "crowpier.interface"]}) == [
         "rushhitch.journal.store imports rushhitch.core.node"
     ]
+
+
+def test_a_start_imports_nothing_of_what_is_off():
+    # Guards against slow starts: on a share of a core each module costs its part of a second.
+    told = "import sys, rushhitch.__main__; print(*(name for name in sys.modules))"
+    words = [sys.executable, "-c", told]
+    found = subprocess.run(words, cwd=ROOT, check=True, capture_output=True, text=True).stdout.split()
+    assert "rushhitch.service" in found
+    off = ("membership", "sharing", "planning", "cloudevents", "cli")
+    outside = ("uvloop", "msgspec", "cloudevents", "cryptography")
+    named = {*outside, *(f"rushhitch.{name}" for name in off)}
+    assert not [name for name in found if name in named or ".".join(name.split(".")[:2]) in named]
