A move of all at once: told within 6 s and not in step from then on, on virtual time

Need: a configuration that moves discovery sends all dispatchers to the new address in one moment, and periods that begin together would stay together. Asks.place draws a place after that first call; until now only its own test looked at it. 200 that are moved at once, refused once each where discovery serves them at once, and not refused where it serves just enough: told within 6 s, and spread after the first call. Seen to fail with no place drawn (Asks.first, placed always true).

--- a/tests/directories.py
+++ b/tests/directories.py
@@ -168,6 +168,7 @@
     def __init__(self, directory: Directory, dispatchers: int, seed: int) -> None:
         self.directory, self.dispatchers, self.seed = directory, dispatchers, seed
         self.heard: list[list[float]] = [[] for _ in range(dispatchers)]  # when each had a list
+        self.moved_at = float("inf")  # all at once to another address of the same directory
 
     def run(self, monkeypatch, seconds: float) -> Watches:
         monkeypatch.setattr(discovery, "Connection", Line)
@@ -176,16 +177,26 @@
 
     async def work(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
-        tasks = []
+        watches = []
         for number, heard in enumerate(self.heard):
             chance = random.Random(1_000_003 * self.seed + number)
 
             def told(news, heard=heard):
                 heard.append(loop.time())
 
-            watch = Watch((self.directory, number), 1, told, chance, dispatchers=self.dispatchers)
-            tasks.append(asyncio.create_task(watch.run()))
-        await asyncio.sleep(seconds)
+            watches.append(Watch((self.directory, number), 1, told, chance, dispatchers=self.dispatchers))
+        tasks = [loop.create_task(watch.run()) for watch in watches]
+        if self.moved_at < seconds:
+            await asyncio.sleep(self.moved_at)
+            await self.stop(tasks)
+            for watch in watches:
+                watch.move(watch.address)
+            tasks = [loop.create_task(watch.run()) for watch in watches]
+        await asyncio.sleep(seconds - loop.time())
+        await self.stop(tasks)
+
+    @staticmethod
+    async def stop(tasks: list[asyncio.Task[None]]) -> None:
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -86,6 +86,18 @@
     assert watches.latest(BACK_AT) <= TOLD_S
 
 
+@pytest.mark.parametrize("refuse_from", [DOWN_AT, float("inf")])
+def test_after_a_move_of_all_at_once_they_are_told_within_6_s(monkeypatch, refuse_from):
+    # With a refusal of each they are told where discovery serves them at once, as all have come at once.
+    per_s = enough(200) if refuse_from > DOWN_AT else 10.0 * enough(200)
+    directory = Directory(8, per_s, late_s=0.8, down_at=DOWN_AT, back_at=DOWN_AT, refuse_from=refuse_from)
+    watches = Watches(directory, 200, 8)
+    watches.moved_at = DOWN_AT
+    assert watches.run(monkeypatch, END).latest(DOWN_AT) <= TOLD_S
+    directory.asked = [at for at in directory.asked if at > DOWN_AT]  # what follows the move is not in step
+    never_in_step(directory, 200)
+
+
 @pytest.mark.parametrize("dispatchers", FLEETS[1:3])
 def test_where_half_of_them_are_served_in_a_period_all_are_told_within_6_s(monkeypatch, dispatchers):
     directory = Directory(6, 0.5 * enough(dispatchers), down_at=DOWN_AT, back_at=BACK_AT)
