First trials of a restarted fleet come as a stream, at the pace of trials in an outage

Seen: beyond its budget of N calls a cold destination bears 2 root N + 2 more from all dispatchers together.

Ruled out: trials of dispatchers that did not restart (no plain outage with quick refusals broke, from N of 2 to 20), and the ramp after the first success. At fault: `remembered` set `opens_at` to the present, so that each sent its first trial at once.

Change: the first trial comes by chance within the gap of trials in an outage, which is the dispatcher's part of what the destination bears; a lone dispatcher need not wait.

--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -800,7 +800,10 @@
         taken.count, taken.at, taken.since = pace * PART_MS / 1000.0, self.now, -math.inf
         endpoint.cold = endpoint.tripped = True
         endpoint.failed_at = self.now
-        endpoint.warm, endpoint.opens_at = self.settings.cold_from, self.now
+        # Many may have restarted together, at the return even: their first trials come as a stream, at the
+        # pace of trials in an outage. One alone need not wait, and few wait less.
+        spread = self.cold_gap(endpoint) * (1.0 - 1.0 / self.settings.dispatchers)
+        endpoint.warm, endpoint.opens_at = self.settings.cold_from, self.now + self.random.random() * spread
 
     def recovered(self, endpoint: Endpoint) -> None:
         if endpoint.tripped:
