After a connect that was given up calls go one at a time, and no trial comes early

Seen: where connects wait in an outage and come up as it ends, or are reset then, dispatchers that had been told pushed the destination over.

Checked: who sent the calls that were there at the fall. At N of 5 and 30 dispatchers 92 of 120 came from dispatchers that had been told by one or two connects of 1.5 s that came to nothing, whose breaker was still shut and which sent all that they held; 26 from such that had not been told. At fault: STRIKE, in which a connect given up counts as half a failure like a refused one; `open_at`, which lets several go; `trip`, whose first trial 250 ms later is meant for a blink, which such a trip, seconds after the first failure, never is.

Change: a connect that fails after half a second or later is a failure like others; until something is answered there, calls go one at a time; the first trial after such a trip comes by chance within the gap of trials. Quick refusals and all else go as before.

--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -75,6 +75,7 @@
 WAIT_MARGIN_MS = 1.0  # added to a told wait, against rounding of the clock
 # Outages
 STRIKES = 4  # breaker: opens at so many; a failure is two, less where it may be the limit's or the network's
+SILENCE_MS = 500.0  # a connect that fails so late was not refused: nobody is there, a failure as others
 STRIKE = {Outcome.FULL: 1.0, Outcome.CONNECT_FAILED: 1.0, Outcome.RESET: 0.5}
 BLINK_MS = 1_000.0  # outages last for seconds: what served so shortly before was not in one
 BLINK_TRIAL_MS = 250.0  # after a trip of what was warm the first trial comes so soon: it may be chance
@@ -226,6 +227,7 @@
         self.warm, self.warm_at = 1.0, 0.0
         self.tripped, self.opens_at, self.answered_at = False, -math.inf, -math.inf
         self.failed_at = -math.inf  # the newest failure of any kind
+        self.unheard_at = -math.inf  # the newest connect that was given up, not refused
         self.cold = False  # from its trip until it is warm again
         self.served_at, self.blamed = -math.inf, False  # blamed: it failed since by its own doing
         self.detached = False  # by operators
@@ -772,7 +774,9 @@
         if outcome is Outcome.FULL:
             endpoint.lane.note_full(self.now, sent_at, told_wait, self.random, self.settings.dispatchers)
         if sent_at >= endpoint.struck_at:
-            endpoint.strikes += STRIKE.get(outcome, 2.0)
+            unheard = outcome is Outcome.CONNECT_FAILED and self.now - sent_at > SILENCE_MS
+            endpoint.strikes += 2.0 if unheard else STRIKE.get(outcome, 2.0)
+            endpoint.unheard_at = self.now if unheard else endpoint.unheard_at
             endpoint.struck_at = self.now
         failing = endpoint.score < PRIOR and endpoint.strikes > 2  # one refusal proves no outage
         if endpoint.strikes >= STRIKES or failing or shut:
@@ -791,6 +795,9 @@
             endpoint.cold, gap = True, BLINK_TRIAL_MS
             self.actions.append(api.Remember(endpoint.name, True, endpoint.lane.part()))
         endpoint.tripped = True
+        if gap < math.inf and self.doubted(endpoint):  # no blink: a first trial as after a restart
+            endpoint.opens_at = self.now + self.cold_gap(endpoint) * self.random.random()
+            return
         gap = min(self.cold_gap(endpoint), gap)
         endpoint.opens_at = self.now + gap * self.random.uniform(*JITTER)
 
@@ -936,7 +943,7 @@
             return max(at, endpoint.opens_at + (self.cold_gap(endpoint) if unsafe else 0.0))
         if endpoint.warm < 1.0:
             at = max(at, endpoint.opens_at)
-        if self.silent(endpoint):
+        if self.silent(endpoint) or self.doubted(endpoint):
             at = max(at, self.hope_ends(endpoint))
         return math.inf if self.no_slot(endpoint) else at
 
@@ -947,6 +954,11 @@
         late = call is not None and self.now - call.sent_at > SILENT_CALL * call.usual
         return late and endpoint.answered_at < call.sent_at
 
+    def doubted(self, endpoint: Endpoint) -> bool:
+        """Guards against connects that wait for what is gone, and all end or arrive as it comes back: one was
+        given up there and nothing answered since, so they go one at a time, of each dispatcher."""
+        return endpoint.answered_at < endpoint.unheard_at
+
     def hope_ends(self, endpoint: Endpoint) -> float:
         """When none of the calls out there may still be answered, and one more finds out: it guards against
         an endpoint that is left alone while an unsafe call on a dead connection is out."""
