Tests: one way to play a program and end it, in place of three copies

Need: the coroutine that starts the program, runs a test and ends it stood in test_program, test_customers and test_endings, alike but for who starts it.

The whole suite was not run again after this.

--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -9,7 +9,7 @@
 import socket
 import struct
 import sys
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -181,6 +181,25 @@
                 return json.loads(request.body.splitlines()[0])
 
 
+def playing(program: Program, started: bool = True) -> Callable[[Callable[[Program], Awaitable[None]]], None]:
+    """Runs a test's coroutine with the program and its surroundings, and ends it whatever happens."""
+
+    def decorate(test: Callable[[Program], Awaitable[None]]) -> None:
+        async def work() -> None:
+            await program.surroundings()
+            if started:
+                await program.start()
+            try:
+                await test(program)
+            finally:
+                if program.process is not None and program.process.returncode is None:
+                    await program.kill()
+
+        run(work())
+
+    return decorate
+
+
 class Client:
     """A RESP2 client."""
 
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from doubles import WORTH, Program, run
+from doubles import WORTH, Program, playing, run
 from test_benchlink import TOLD
 
 from crowpier import Dispatcher
@@ -32,19 +32,7 @@
 
 
 def with_customer(folder, batch=1):
-    def decorate(test):
-        async def work():
-            program = await Customer(folder, batch).surroundings()
-            await program.start()
-            try:
-                await test(program)
-            finally:
-                if program.process.returncode is None:
-                    await program.kill()
-
-        run(work())
-
-    return decorate
+    return playing(Customer(folder, batch))
 
 
 def test_the_key_of_repeats_goes_to_the_endpoint_as_the_client_gave_it(tmp_path):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -9,7 +9,7 @@
 
 import pytest
 from bed import Bed
-from doubles import PATIENCE_S, ROOT, UNSAFE, WORTH, Program, run
+from doubles import PATIENCE_S, ROOT, UNSAFE, WORTH, Program, playing, run
 from test_benchlink import TOLD
 from test_endpoints import Caller
 
@@ -56,18 +56,7 @@
 
 
 def with_program(folder, program=Program):
-    def decorate(test):
-        async def work():
-            made = await program(folder).surroundings()
-            try:
-                await test(made)
-            finally:
-                if made.process is not None and made.process.returncode is None:
-                    await made.kill()
-
-        run(work())
-
-    return decorate
+    return playing(program(folder), started=False)
 
 
 class Elsewhere(Program):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,27 +11,13 @@
 from datetime import datetime
 
 import pytest
-from doubles import ROOT, Peer, Program, run
+from doubles import ROOT, Peer, Program, playing
 
 from rushhitch.process import Throttle
 
 
 def with_program(tmp_path, batch=1):
-    """Runs a test's coroutine with a started program, and ends that whatever happens."""
-
-    def decorate(test):
-        async def work():
-            program = await Program(tmp_path, batch).surroundings()
-            await program.start()
-            try:
-                await test(program)
-            finally:
-                if program.process.returncode is None:
-                    await program.kill()
-
-        run(work())
-
-    return decorate
+    return playing(Program(tmp_path, batch))
 
 
 def logged_at(line):
