Lab: a run is over only when no answer is due and nobody waits to hand in again

Cause: test_with_these_faults_the_rules_are_kept[kills] left a message open, and it was never a dispatcher's. `Run.settled` asked whether hand-ins were still at work and whether what was taken on had ended, but a hand-in's task ends as its request is written, and one that waits to hand in again (0.34 to 1.6 s after no answer, 0.1 to 0.5 s after a refusal) is a timer. So a run could end between a request and its answer. The histories of both failures show it: m122 found no dispatcher at 2,995 ms (killed), came again as m233 at 4,517 ms, and the run was over at 4,561 ms; m146 at 3,708 ms, m247 at 5,191 ms, over 2 ms later.

Lines at fault: lab/run.py, `settled`, `self.clients.tasks`. Change: the clients know which of their ids have no answer yet and how many wait to hand in again; the run goes on until there is neither, within the same bound as before.

--- a/lab/clients.py
+++ b/lab/clients.py
@@ -121,6 +121,8 @@
         self.idle: dict[tuple[str, str], deque[ClientConnection]] = {}  # by dispatcher and protocol
         self.order = 0
         self.out: dict[str, Ask] = {}  # taken on, by id: a notice may send it back
+        self.unheard: set[str] = set()  # ids handed in, to which no answer has come yet
+        self.due_again = 0  # messages that are handed in once more when a rest is over
         self.tasks: set[asyncio.Task[None]] = set()
 
     def serves(self, dispatcher: str, port: int | None, event_port: int = 0) -> None:
@@ -137,6 +139,11 @@
         at = datetime.now(UTC) + timedelta(milliseconds=left_ms)
         return at.isoformat(timespec="milliseconds").replace("+00:00", "Z")
 
+    @property
+    def quiet(self) -> bool:
+        """Whether they wait for nothing that comes by itself: no answer, and no moment to hand in again."""
+        return not (self.tasks or self.unheard or self.due_again)
+
     def hand_in(self, ask: Ask) -> None:
         task = self.loop.create_task(self.run(ask))
         self.tasks.add(task)
@@ -151,6 +158,7 @@
             await asyncio.sleep(0.1)
         names = sorted(self.ports)
         self.order += 1
+        self.unheard.add(name)
         dispatcher = names[self.order % len(names)] if names else ""
         self.history.add(
             "offer",
@@ -205,17 +213,19 @@
             self.out[name] = ask
         elif answer.startswith(b"-BUSY"):
             kind, wait = "busy", float(answer[5:] or 0)
+        self.unheard.discard(name)
         self.history.add("answer", id=name, answer=kind, wait_ms=wait)
         if kind == "busy":
             self.retry(ask, wait)
 
     def unanswered(self, name: str, ask: Ask, dispatcher: str, how: str) -> None:
+        self.unheard.discard(name)
         self.history.add("answer", id=name, answer=how, wait_ms=0)
         if (
             ask.tries < self.retries + 2
         ):  # it is a new message to whoever gets it: nobody owes the old id an end
             anew = dataclasses.replace(ask, origin="", tries=ask.tries + 1, again=True)
-            self.loop.call_later(self.chance.uniform(*AGAIN_S), self.hand_in, anew)
+            self.hand_in_after(self.chance.uniform(*AGAIN_S), anew)
 
     def heard(self, notice: dict[str, Any]) -> None:
         """The platform was told of an end: what was refused may come again."""
@@ -228,7 +238,15 @@
             return
         rest = wait_ms / 1000.0 if wait_ms else self.chance.uniform(*RETRY_S)
         anew = dataclasses.replace(ask, tries=ask.tries + 1)
-        self.loop.call_later(rest, self.hand_in, anew)
+        self.hand_in_after(rest, anew)
+
+    def hand_in_after(self, rest_s: float, ask: Ask) -> None:
+        def over() -> None:
+            self.due_again -= 1
+            self.hand_in(ask)
+
+        self.due_again += 1
+        self.loop.call_later(rest_s, over)
 
     def stop(self) -> None:
         for task in self.tasks:
--- a/lab/run.py
+++ b/lab/run.py
@@ -282,8 +282,8 @@
             self.disk_most[name] = max(self.disk_most.get(name, 0), size)
 
     def settled(self) -> bool:
-        """Whether nothing can come any more: no message open, no fault still on."""
-        if self.tasks or self.clients.tasks or self.partners.bank.tasks:
+        """Whether nothing can come any more: no message open or on its way in, no fault still on."""
+        if self.tasks or not self.clients.quiet or self.partners.bank.tasks:
             return False
         ended = {event["id"] for event in self.history.events if event["what"] == "notice"}
         for event in self.history.events:
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -1,5 +1,6 @@
 """The lab with a real dispatcher: faults happen, the rules checker finds nothing; scenarios are checked."""
 
+import asyncio
 import re
 import sys
 from concurrent.futures import ThreadPoolExecutor
@@ -8,11 +9,12 @@
 
 from benchmarks.faults import day
 from lab import __main__ as command
+from lab.clients import Ask
 from lab.demo import DEMO
 from lab.history import History
 from lab.report import pressure
 from lab.rules import Broken
-from lab.run import Played, play
+from lab.run import Played, Run, play
 from lab.scenario import BadScenario, parse
 
 SHORT = """
@@ -148,6 +150,45 @@
     assert max(played.disk_most.values()) <= 0.4e6
 
 
+def test_a_run_is_over_only_when_no_answer_is_due_and_nobody_waits_to_hand_in_again(tmp_path):
+    async def work():
+        running = Run(parse(SHORT, "waits"), tmp_path, lambda text: None)
+        events = running.history.events
+        requests: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+
+        async def serve(reader, writer):
+            while await reader.read(65_536):  # a request comes in one piece, and one at a time
+                requests.put_nowait(writer)
+
+        async def answered(number):
+            while sum(event["what"] == "answer" for event in events) < number:
+                await asyncio.sleep(0.001)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        running.clients.serves("d0", server.sockets[0].getsockname()[1])
+        assert running.settled()
+        running.clients.hand_in(Ask("note", 1, 3000.0, b"body"))
+        writer = await requests.get()
+        assert not running.settled(), "its answer is due"
+        writer.write(b"-BUSY 100\r\n")
+        await answered(1)
+        assert not running.settled(), "it comes again"
+        writer = await requests.get()
+        writer.transport.abort()
+        await answered(2)
+        assert not running.settled(), "there was no answer: it comes anew"
+        writer = await requests.get()
+        writer.write(b"+OK\r\n")
+        await answered(3)
+        assert not running.settled(), "it has not ended"
+        running.history.add("notice", id=events[-2]["id"], result="dead", wait_ms=0)
+        assert running.settled()
+        running.clients.stop()
+        server.close()
+
+    asyncio.run(asyncio.wait_for(work(), 30.0))
+
+
 def test_on_a_short_day_of_all_faults_the_rules_are_kept(tmp_path):
     # The long form, and further seeds, are in benchmarks/faults.py.
     played = play(day(3, 9.0), folder=tmp_path)
