--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -34,6 +34,14 @@
     assert not broken(name, budget, size)
 
 
+def test_a_call_that_hung_came_before_the_return_and_the_stricter_reading_counts_it():
+    told = strict = 0
+    for seed in SEEDS:
+        result = Return(20.0, 20, seed, SCENARIO["hangs, long"]).play()
+        told, strict = told + result.told.fell, strict + result.strict.fell
+    assert told == 0 < strict
+
+
 @pytest.mark.parametrize("took_ms, out", ((30.0, 3), (1_500.0, 1)))
 def test_after_a_connect_that_was_given_up_and_not_refused_calls_go_one_at_a_time(took_ms, out):
     # The message that failed and two new ones.
