A connect that nobody answered is the sign of an outage; no trial waits through one

Change: a connect that was given up, with nothing answered since it went, trips the breaker; the next goes as a trial, by chance within the gap of trials. A trial's connection that comes up after 0.5 s is not used (`start_by`) and counts as one more that nobody answered; the one after it is, so that what is slow to connect is not cut off. Trials go at three quarters of the pace before.

--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -81,6 +81,7 @@
 BLINK_TRIAL_MS = 250.0  # after a trip of what was warm the first trial comes so soon: it may be chance
 RETURN_SHARE = 0.9  # of `fall_multiple` times the known pace: what a cold lane gets at most from us
 UNSEEN_MS = 8_000.0  # outages end in mid-span between a failure and a success, where that is no longer
+TRIAL_SHARE = 0.75  # of that: those who find out that it returned send more within the same time
 RETURN_GROW_PER_S = 0.2  # e-folds: that share grows by so many each second in which nothing fails
 TRIAL_GAP_MS = 500.0  # times the dispatchers: the longest wait between calls to a cold endpoint
 # Held messages
@@ -118,6 +119,8 @@
     def __init__(self) -> None:
         self.told_rate = 0.0
         self.endpoints: list[Endpoint] = []
+        self.answered_at = -math.inf
+        self.unheard_at = -math.inf  # the newest connect that was given up, not refused
         self.wait_until = self.next_at = -math.inf
         self.cut_at = 0.0
         self.pace = math.inf
@@ -227,10 +230,10 @@
         self.warm, self.warm_at = 1.0, 0.0
         self.tripped, self.opens_at, self.answered_at = False, -math.inf, -math.inf
         self.failed_at = -math.inf  # the newest failure of any kind
-        self.unheard_at = -math.inf  # the newest connect that was given up, not refused
         self.cold = False  # from its trip until it is warm again
         self.served_at, self.blamed = -math.inf, False  # blamed: it failed since by its own doing
         self.detached = False  # by operators
+        self.came_up = False  # a connection, too late to be used: the next one is, however long it takes
 
     @property
     def ready(self) -> bool:
@@ -253,6 +256,7 @@
         self.destination = message.destination
         self.usual, self.cls, self.left, self.judged = usual, message.cls.name, 0, False
         self.riders: list[tuple[Message, int]] = []  # and which of their attempts it is
+        self.start_by = math.inf  # else it is not sent: its connection came up too late
         self.lost_at, self.abandoned, self.overtaken = -math.inf, False, 0  # by later calls
         self.idle_ms = now - endpoint.idle.pop() if endpoint.idle else 0.0  # of its connection, before it
 
@@ -673,6 +677,9 @@
         message.out -= 1
         if call.abandoned and event.outcome is Outcome.CANCELLED:
             event = replace(event, outcome=Outcome.TIMEOUT)  # and that is what it was
+        if event.outcome is Outcome.MOOT and self.now > call.start_by:
+            call.endpoint.came_up = True
+            event = replace(event, outcome=Outcome.CONNECT_FAILED)
         self.settle(call, event)
         if not event.outcome.never_ran and call.sent_at < message.ran_at:
             message.ran_at, message.ran_zone = call.sent_at, call.endpoint.zone
@@ -762,10 +769,11 @@
         success = outcome is Outcome.OK
         endpoint.rate(self.now, success)
         if outcome is not Outcome.CONNECT_FAILED and outcome is not Outcome.TIMEOUT:
-            endpoint.answered_at = self.now
+            endpoint.answered_at = endpoint.lane.answered_at = self.now
         if success:
             endpoint.strikes = 0
             self.recovered(endpoint)
+            endpoint.came_up = False
             endpoint.served_at, endpoint.blamed = self.now, False
             endpoint.lane.note_taken(self.now, endpoint.cold)
             return
@@ -774,13 +782,15 @@
         endpoint.blamed |= shut or outcome in (Outcome.ERROR, Outcome.TIMEOUT)
         if outcome is Outcome.FULL:
             endpoint.lane.note_full(self.now, sent_at, told_wait, self.random, self.settings.dispatchers)
+        unheard = outcome is Outcome.CONNECT_FAILED and self.now - sent_at > SILENCE_MS
         if sent_at >= endpoint.struck_at:
-            unheard = outcome is Outcome.CONNECT_FAILED and self.now - sent_at > SILENCE_MS
             endpoint.strikes += 2.0 if unheard else STRIKE.get(outcome, 2.0)
-            endpoint.unheard_at = self.now if unheard else endpoint.unheard_at
+            if unheard:
+                endpoint.lane.unheard_at = self.now
             endpoint.struck_at = self.now
         failing = endpoint.score < PRIOR and endpoint.strikes > 2  # one refusal proves no outage
-        if endpoint.strikes >= STRIKES or failing or shut:
+        unheard = unheard and endpoint.answered_at < sent_at
+        if endpoint.strikes >= STRIKES or failing or shut or unheard:
             self.trip(endpoint, sent_at)
 
     # Outages: a circuit breaker that opens on failures of any kind, tries one call at a time while half open
@@ -796,7 +806,7 @@
             endpoint.cold, gap = True, BLINK_TRIAL_MS
             self.actions.append(api.Remember(endpoint.name, True, endpoint.lane.part()))
         endpoint.tripped = True
-        if gap < math.inf and self.doubted(endpoint):  # no blink: a first trial as after a restart
+        if gap < math.inf and self.doubted(endpoint.lane):  # no blink: a first trial as after a restart
             endpoint.opens_at = self.now + self.cold_gap(endpoint) * self.random.random()
             return
         gap = min(self.cold_gap(endpoint), gap)
@@ -850,7 +860,7 @@
             quiet = self.now - max(endpoint.warm_at, endpoint.failed_at)
             pace *= math.exp(RETURN_GROW_PER_S * quiet / 1000.0)
         gap = min(1000.0 / max(pace, 1e-9), TRIAL_GAP_MS * self.settings.dispatchers)
-        return max(gap, PAUSE_MS) if endpoint.tripped else gap
+        return max(gap / TRIAL_SHARE, PAUSE_MS) if endpoint.tripped else gap
 
     # The mechanism: what to do with a message next
 
@@ -944,7 +954,7 @@
             return max(at, endpoint.opens_at + (self.cold_gap(endpoint) if unsafe else 0.0))
         if endpoint.warm < 1.0:
             at = max(at, endpoint.opens_at)
-        if self.silent(endpoint) or self.doubted(endpoint):
+        if self.silent(endpoint) or self.doubted(endpoint.lane):
             at = max(at, self.hope_ends(endpoint))
         return math.inf if self.no_slot(endpoint) else at
 
@@ -955,10 +965,10 @@
         late = call is not None and self.now - call.sent_at > SILENT_CALL * call.usual
         return late and endpoint.answered_at < call.sent_at
 
-    def doubted(self, endpoint: Endpoint) -> bool:
+    def doubted(self, lane: Lane) -> bool:
         """Guards against connects that wait for what is gone, and all end or arrive as it comes back: one was
-        given up there and nothing answered since, so they go one at a time, of each dispatcher."""
-        return endpoint.answered_at < endpoint.unheard_at
+        given up and nothing answered since, so they go one at a time, of each dispatcher."""
+        return lane.answered_at < lane.unheard_at
 
     def hope_ends(self, endpoint: Endpoint) -> float:
         """When none of the calls out there may still be answered, and one more finds out: it guards against
@@ -1121,7 +1131,11 @@
             aims *= DOUBTED_SHARE
         patience = max(TIMEOUT_CALLS * call.usual, aims * message.cls.aim_ms)
         stop_at = min(self.now + patience, message.deadline)
-        self.actions.append(api.Send(message.id, call.endpoint.name, stop_at, message.window_ends))
+        doubted = call.endpoint.tripped or self.doubted(call.endpoint.lane)
+        if doubted and not call.endpoint.came_up:  # what waits through an outage would come in as it ends
+            call.start_by = self.now + SILENCE_MS
+        start_by = min(message.window_ends, call.start_by)
+        self.actions.append(api.Send(message.id, call.endpoint.name, stop_at, start_by))
 
     def fill(self, call: Call) -> None:
         """Messages of one round to one endpoint share the call where the kind takes several."""
