Endpoints of a lane that fail by turns trip together, and share one stream of trials

Cause, by the probe: of two endpoints each had to fail three or four times by itself, and who sends little saw one or two at each; none tripped, and at the return all were sent to as if warm. Trials in the outage were one stream for each endpoint, and an unanswered connect to one sent the next connect to the other at once.

Change: failures are also counted by lane until one of its endpoints serves: one each, two for a connect that nobody answered, none for a refusal as full. At the breaker's bound those that failed since trip together, with no early trial; so does, past two unanswered connects, an endpoint of the same zone that has not answered since. The gap of trials grows by the number of endpoints. Doubt after an unanswered connect is the lane's. Routes apart are lanes of their own, as before.

--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -73,13 +73,13 @@
     sizes = sorted({size for _, _, size in cells})
     lines = [
         "broken/fell/runs, the most calls of what is borne, full use after (median), worth",
-        f"{'':24}{'N':>4} " + "".join(f"{size:>28}" for size in sizes),
+        f"{'':36}{'N':>4} " + "".join(f"{size:>28}" for size in sizes),
     ]
     for scenario in SCENARIOS:
         for budget in sorted({budget for _, budget, _ in cells}):
             found = [cells.get((scenario.name, budget, size)) for size in sizes]
             rows = "".join(f"{row(cell) if cell else 'not run':>28}" for cell in found)
-            lines.append(f"{scenario.name:24}{budget:4.0f} {rows}")
+            lines.append(f"{scenario.name:36}{budget:4.0f} {rows}")
     print("\n".join(lines))
     figures = []
     for scenario in SCENARIOS:
--- a/crowpier/logic.py
+++ b/crowpier/logic.py
@@ -119,7 +119,8 @@
     def __init__(self) -> None:
         self.told_rate = 0.0
         self.endpoints: list[Endpoint] = []
-        self.answered_at = -math.inf
+        self.strikes = 0.0  # of its endpoints that are not tripped, since one of them served
+        self.answered_at = self.served_at = -math.inf
         self.unheard_at = -math.inf  # the newest connect that was given up, not refused
         self.wait_until = self.next_at = -math.inf
         self.cut_at = 0.0
@@ -771,10 +772,11 @@
         if outcome is not Outcome.CONNECT_FAILED and outcome is not Outcome.TIMEOUT:
             endpoint.answered_at = endpoint.lane.answered_at = self.now
         if success:
-            endpoint.strikes = 0
+            endpoint.strikes, endpoint.lane.strikes = 0, 0.0
             self.recovered(endpoint)
             endpoint.came_up = False
-            endpoint.served_at, endpoint.blamed = self.now, False
+            endpoint.served_at = endpoint.lane.served_at = self.now
+            endpoint.blamed = False
             endpoint.lane.note_taken(self.now, endpoint.cold)
             return
         endpoint.failed_at = self.now
@@ -784,7 +786,10 @@
             endpoint.lane.note_full(self.now, sent_at, told_wait, self.random, self.settings.dispatchers)
         unheard = outcome is Outcome.CONNECT_FAILED and self.now - sent_at > SILENCE_MS
         if sent_at >= endpoint.struck_at:
-            endpoint.strikes += 2.0 if unheard else STRIKE.get(outcome, 2.0)
+            strikes = 2.0 if unheard else STRIKE.get(outcome, 2.0)
+            endpoint.strikes += strikes
+            if not endpoint.tripped and outcome is not Outcome.FULL:
+                endpoint.lane.strikes += 2.0 if unheard else min(strikes, 1.0)  # others may be at fault
             if unheard:
                 endpoint.lane.unheard_at = self.now
             endpoint.struck_at = self.now
@@ -792,13 +797,14 @@
         unheard = unheard and endpoint.answered_at < sent_at
         if endpoint.strikes >= STRIKES or failing or shut or unheard:
             self.trip(endpoint, sent_at)
+        self.trip_others(endpoint, sent_at, unheard)
 
     # Outages: a circuit breaker that opens on failures of any kind, tries one call at a time while half open
     # and then lets the endpoint warm up. It guards against pushing over what returns cold, and against
     # feeding messages to what is down, shut or silent. It hurts where failures were chance: where these were
     # the network's and it serves again at once, it is as warm as it was. That hurts if it restarted at once.
 
-    def trip(self, endpoint: Endpoint, sent_at: float) -> None:
+    def trip(self, endpoint: Endpoint, sent_at: float, early: bool = True) -> None:
         if endpoint.tripped and sent_at < endpoint.opens_at:
             return
         gap = math.inf
@@ -806,12 +812,25 @@
             endpoint.cold, gap = True, BLINK_TRIAL_MS
             self.actions.append(api.Remember(endpoint.name, True, endpoint.lane.part()))
         endpoint.tripped = True
-        if gap < math.inf and self.doubted(endpoint.lane):  # no blink: a first trial as after a restart
+        if gap < math.inf and (not early or self.doubted(endpoint.lane)):  # no blink: as after a restart
             endpoint.opens_at = self.now + self.cold_gap(endpoint) * self.random.random()
             return
         gap = min(self.cold_gap(endpoint), gap)
         endpoint.opens_at = self.now + gap * self.random.uniform(*JITTER)
 
+    def trip_others(self, endpoint: Endpoint, sent_at: float, unheard: bool) -> None:
+        """Guards against an outage of all of a lane's endpoints that each shows by a failure or two, for who
+        sends little: those that failed since one of them served trip together, and as connects come to
+        nothing, those beside it that have not answered since. It hurts where one outlived the others."""
+        lane = endpoint.lane
+        for other in lane.endpoints:
+            quiet = unheard and other.zone == endpoint.zone and other.answered_at < sent_at
+            failing = lane.strikes > 2 and other.score_at(self.now) < PRIOR
+            if other.tripped or not (quiet or other.struck_at > lane.served_at):
+                continue
+            if lane.strikes >= STRIKES or failing:
+                self.trip(other, sent_at, early=False)
+
     def remembered(self, endpoint: Endpoint, pace: float) -> None:
         """Guards against a restart in mid-outage: what was cold before it is tried as if none had been."""
         taken = endpoint.lane.taken
@@ -859,7 +878,7 @@
         if not endpoint.tripped:  # what it took before was asked of it, not all that it can do
             quiet = self.now - max(endpoint.warm_at, endpoint.failed_at)
             pace *= math.exp(RETURN_GROW_PER_S * quiet / 1000.0)
-        gap = min(1000.0 / max(pace, 1e-9), TRIAL_GAP_MS * self.settings.dispatchers)
+        gap = min(1000.0 / max(pace, 1e-9), TRIAL_GAP_MS * self.settings.dispatchers * shared)
         return max(gap / TRIAL_SHARE, PAUSE_MS) if endpoint.tripped else gap
 
     # The mechanism: what to do with a message next
--- a/lab/cold.py
+++ b/lab/cold.py
@@ -76,6 +76,7 @@
     Scenario("one has most", one=0.75),
     Scenario("a third untold", idle=0.34),
     Scenario("two endpoints", endpoints=2),
+    Scenario("two endpoints, reset at the return", way="reset", endpoints=2),
     Scenario("three endpoints, late connects", way="late", endpoints=3),
     Scenario("clumps", clumps=0.17),
     Scenario("clumps, late connects", way="late", clumps=0.17),
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -36,6 +36,9 @@
     ("reset at the return", 5.0, 20),
     ("reset at the return", 5.0, 30),
     ("reset at the return", 20.0, 30),
+    ("three endpoints, late connects", 2.0, 30),
+    ("three endpoints, late connects", 5.0, 20),
+    ("three endpoints, late connects", 20.0, 30),
 )
 
 
@@ -44,6 +47,14 @@
     assert not broken(name, budget, size)
 
 
+ENDPOINTS = ((2.0, 30), (2.0, 200), (5.0, 30), (5.0, 200), (20.0, 200))
+
+
+@pytest.mark.parametrize("budget, size", ENDPOINTS)
+def test_who_sends_little_to_each_of_two_endpoints_sees_an_outage_of_both(budget, size):
+    assert not broken("two endpoints", budget, size)
+
+
 def test_a_call_that_hung_came_before_the_return_and_the_stricter_reading_counts_it():
     told = strict = 0
     for seed in SEEDS:
@@ -52,7 +63,7 @@
     assert told == 0 < strict
 
 
-GAPS = ((1, 3.0), (2, 3.0), (3, 3.0), (1, 0.01))
+GAPS = ((1, 3.0), (2, 3.0), (3, 3.0), (1, 0.01), (2, 0.01), (3, 0.01))
 
 
 @pytest.mark.parametrize("count, pace", GAPS)
@@ -65,6 +76,19 @@
     assert per_s == pytest.approx(0.75 * max(0.9 * 2.0 * 0.2 * pace, 2.0 / 30.0))
 
 
+def test_endpoints_that_trip_together_have_no_early_trials():
+    bed = Bed(Entry("e1", 1), Entry("e2", 1), dispatchers=30)
+    number = 0
+    while not all(bed.dispatcher.endpoints[name].tripped for name in ("e1", "e2")):
+        number += 1
+        bed.arrive(number)
+        bed.pass_ms(5.0, timeouts=False)
+        if bed.out:
+            bed.end(next(iter(bed.out))[0], Outcome.CONNECT_FAILED)
+    opens = [bed.dispatcher.endpoints[name].opens_at - bed.now for name in ("e1", "e2")]
+    assert min(opens) > 1_000.0, "each at a moment within its gap of forty seconds"
+
+
 def given_up(bed, message, took_ms=1_500.0):
     """A connect that nobody answered, or, within `SILENCE_MS`, that was refused."""
     bed.arrive(message)
@@ -137,3 +161,48 @@
     while not bed.out:
         bed.pass_ms(5.0, timeouts=False)
     assert bed.sends()[0].start_by_ms == float("inf"), "or an endpoint that is slow to connect stays cut off"
+
+
+TOGETHER = ((0, Outcome.CONNECT_FAILED, True), (1, Outcome.CONNECT_FAILED, False), (0, Outcome.FULL, False))
+
+
+@pytest.mark.parametrize("kind, outcome, together", TOGETHER)
+def test_endpoints_that_fail_by_turns_trip_together_unless_they_are_routes_apart(kind, outcome, together):
+    bed = Bed(Entry("e1", 1, kind), Entry("e2", 1, kind))
+    both = [bed.dispatcher.endpoints[name] for name in ("e1", "e2")]
+    for number, name in enumerate(("e1", "e2", "e1", "e2"), 1):
+        for endpoint in both:
+            endpoint.score = 0.9 if endpoint.name == name else 0.7  # by what they did before
+        assert not any(endpoint.tripped for endpoint in both)
+        bed.arrive(number)
+        while not bed.out:  # a pause after a refusal
+            bed.pass_ms(100.0, timeouts=False)
+        bed.end(number, outcome)
+        bed.withdraw(number)
+    assert [endpoint.tripped for endpoint in both] == [together, together]
+
+
+def test_one_error_at_each_of_two_endpoints_is_no_outage_of_both():
+    bed = Bed(Entry("e1", 1), Entry("e2", 1))
+    both = [bed.dispatcher.endpoints[name] for name in ("e1", "e2")]
+    for number, name in enumerate(("e1", "e2"), 1):
+        for endpoint in both:
+            endpoint.score = 0.9 if endpoint.name == name else 0.7  # by what they did before
+        bed.arrive(number)
+        bed.end(number, Outcome.ERROR)
+        bed.withdraw(number)
+    assert [endpoint.strikes for endpoint in both] == [2.0, 2.0]
+    assert not any(endpoint.tripped for endpoint in both)
+
+
+@pytest.mark.parametrize("zone, beside", ((0, True), (1, False)))
+def test_as_connects_to_two_come_to_nothing_the_third_of_their_zone_is_taken_for_gone(zone, beside):
+    bed = Bed(Entry("e1", 1), Entry("e2", 1), Entry("e3", 1, zone=zone))
+    bed.dispatcher.endpoints["e3"].score = 0.4
+    given_up(bed, 1)
+    assert bed.dispatcher.endpoints[bed.where(1)[0]].tripped
+    bed.pass_ms(300.0, timeouts=False)
+    bed.pass_ms(1_500.0, timeouts=False)
+    bed.end(1, Outcome.CONNECT_FAILED)
+    assert sorted(bed.where(1)) == ["e1", "e2"]
+    assert bed.dispatcher.endpoints["e3"].tripped is beside
