A handover carries the doubt of a lane whose connects nobody answers

Need: the successor of a process that had seen a connect given up did not have its mark (`unheard_at`), so it sent several at once, and its trials waited through an outage.

Change: a lane's count of failures, its newest answer, service and unanswered connect are told with its limits.

tests/test_cold.py: the two tests of a successor fail, one without the names, one with the strict shape.

--- a/crowpier/learned.py
+++ b/crowpier/learned.py
@@ -12,6 +12,7 @@
 
 FLOW = ("count", "at", "since")
 LANE = ("wait_until", "next_at", "cut_at", "pace", "known", "fulls", "told_rate")
+LANE += ("strikes", "answered_at", "served_at", "unheard_at")
 ENDPOINT = ("score", "scored_at", "strikes", "struck_at", "warm", "warm_at", "tripped", "opens_at")
 ENDPOINT += ("answered_at", "failed_at", "cold", "served_at", "blamed")
 TIMES = {"at", "since"}  # beside those that end in `_at` or `_until`
@@ -45,7 +46,8 @@
 
 
 def put(thing: object, names: tuple[str, ...], told: list[Any], ahead: float) -> None:
-    for name, value in zip(names, told, strict=True):
+    """An earlier version knows fewer names, a later one more: new ones stand at the end."""
+    for name, value in zip(names, told, strict=False):
         setattr(thing, name, value + ahead if is_time(name) else value)
 
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -5,7 +5,8 @@
 import pytest
 from bed import Bed, Entry
 
-from crowpier.interface import Outcome, Remembered
+from crowpier import learned
+from crowpier.interface import Learned, Outcome, Remembered
 from lab.cold import SCENARIOS, Return
 
 SCENARIO = {scenario.name: scenario for scenario in SCENARIOS}
@@ -206,3 +207,24 @@
     bed.end(1, Outcome.CONNECT_FAILED)
     assert sorted(bed.where(1)) == ["e1", "e2"]
     assert bed.dispatcher.endpoints["e3"].tripped is beside
+
+
+def test_a_successor_keeps_what_was_known_of_connects_that_nobody_answered():
+    old, new = Bed(Entry("e1", 1)), Bed(Entry("e1", 1))
+    given_up(old, 1)
+    old.pass_ms(700.0, timeouts=False)
+    told = learned.export(old.dispatcher)
+    new.feed(Learned(told, ahead_ms=5_000.0))
+    lane = new.dispatcher.lanes[1]
+    assert lane.unheard_at == old.dispatcher.lanes[1].unheard_at + 5_000.0 > lane.answered_at
+    assert lane.strikes == old.dispatcher.lanes[1].strikes == 2.0
+    assert new.dispatcher.doubted(lane)
+
+
+def test_what_an_earlier_version_tells_is_taken_up_without_what_it_did_not_know():
+    old, new = Bed(Entry("e1", 1)), Bed(Entry("e1", 1))
+    given_up(old, 1)
+    told = learned.export(old.dispatcher)
+    told["lanes"] = [(key, values[:7], *flows) for key, values, *flows in told["lanes"]]
+    new.feed(Learned(told))
+    assert new.dispatcher.endpoints["e1"].tripped and not new.dispatcher.doubted(new.dispatcher.lanes[1])
