A start reads a bounded number of records; readiness measured on the fullest folder

Need: with a full folder of 16 MB a dispatcher answers PING late. Seen: the benchmark's folder was the emptiest one that compaction leaves (2.3 MB), since it stopped right after a compaction.

Ruled out by a profile: checksums (4 % of the replay), the step of compaction at the start (under 1 ms).

At fault: `tend`, which worked off old segments by bytes alone, and the benchmark's `fill`. Old segments are now worked off too where a start would read over 8,192 records and four for each live message, and a segment ends with 4,096 records, so that there is something to give back. The format is as it was. `fill` stops where compaction is about to begin.

The test holds 1 and 300 messages and writes 40,000 records: without the bound a start may have 40,001 and 40,300 to read, with it no more than 16,389 and 17,884 are let pass.

--- a/benchmarks/readiness.py
+++ b/benchmarks/readiness.py
@@ -89,8 +89,8 @@
         journal.attempt(number, 1, f"s-{number % ENDPOINTS}", now)
         journal.outcome(number, 1, False)
         journal.flush()
-        if len(journal.segments) > 1 and journal.segments[0].number > 40:  # compaction keeps up
-            break
+        if journal.segments[0].number > 40 and journal.crowded(0.99):
+            break  # compaction keeps up, and is about to begin anew: fuller the folder is not for long
     journal.close()
     return len(journal.live)
 
--- a/rushhitch/journal/store.py
+++ b/rushhitch/journal/store.py
@@ -30,6 +30,9 @@
 PREFIX, SUFFIX = "segment-", ".log"
 STEP_MESSAGES = 128  # copied forward beside one flush at most: well under a millisecond
 STEP_BYTES = 131_072  # likewise, of bodies
+SEGMENT_RECORDS = 4_096  # a segment ends with so many: what is given back is not left to small records
+REPLAY_RECORDS = 8_192  # beyond so many, and `REPLAY_PER_LIVE` for each live message, a start reads too much
+REPLAY_PER_LIVE = 4  # a copy forward for every third record at most
 UNLINKS = 2  # beside one flush at most: each takes up to a millisecond
 RETRY_RESERVE_S = 1.0  # between two tries to take the reserve back from a disk that was full
 
@@ -379,7 +382,9 @@
         if self.segments:
             last = self.segments[-1]
             if not last.sealed:
-                if last.size + record <= self.space.segment or last.size <= form.HEADER_SIZE:
+                fits = last.size + record <= self.space.segment
+                fits = fits and self.sequence - len(self.pending) - last.base < SEGMENT_RECORDS
+                if fits or last.size <= form.HEADER_SIZE:
                     return last, b"" if last.size else self.header(last)
                 self.seal(last)
         base = self.sequence - len(self.pending)
@@ -553,17 +558,25 @@
         if len(segments) > 1:
             oldest = segments[0]
             dead = not oldest.live and not oldest.cold
-            if dead or self.used > self.space.compact_from or len(segments) > self.space.segments:
+            if dead or self.crowded():
                 self.work_off()
         if self.reserve != self.space.reserve:
             self.take_reserve()
 
+    def crowded(self, share: float = 1.0) -> bool:
+        """Whether old segments are to be worked off, as the disk fills or a start would read too much; with a
+        share, whether that is so near."""
+        records = self.sequence - self.segments[0].base
+        most = REPLAY_RECORDS + REPLAY_PER_LIVE * len(self.live)
+        full = self.used > share * self.space.compact_from or len(self.segments) > share * self.space.segments
+        return full or records > share * most
+
     def work_off(self) -> None:
         try:
             self.unlink_dead()
             if self.pending:
                 return
-            if self.used > self.space.compact_from or len(self.segments) > self.space.segments:
+            if self.crowded():
                 self.step()
             while self.used > self.space.compact_by and len(self.segments) > 1:
                 moved = self.step()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from lab.disk import CountingFiles, FailingFiles, FullFiles
-from rushhitch.journal import Journal, JournalError, Kept, Sync
+from rushhitch.journal import Journal, JournalError, Kept, Sync, store
 from rushhitch.journal import format as form
 from rushhitch.journal.files import Files, on_disk
 
@@ -504,3 +504,24 @@
         journal.take(kept(100 + number, bytes(300)))
         journal.flush()
     assert sorted(seen(tmp_path).live) == list(range(100, 140))
+
+
+@pytest.mark.parametrize("live", [1, 300])
+def test_a_start_reads_a_bounded_number_of_records_however_large_the_disk(tmp_path, live):
+    # Guards against a start that follows megabytes of small records, most of them of no use any more.
+    journal = Journal(tmp_path, 16e6)
+    for number in range(1, live + 1):
+        journal.take(Kept(number, b"m%d" % number, "note", 7, 4e9, b"x"))
+    most = 0
+    for turn in range(20_000):
+        journal.attempt(turn % live + 1, turn, "e1", 1000.0)
+        journal.outcome(turn % live + 1, turn, False)
+        journal.flush()
+        most = max(most, journal.sequence - journal.segments[0].base)
+    kept = {number: message.attempts for number, message in journal.live.items()}
+    journal.close()
+    again = Journal(tmp_path, 16e6, writable=False)
+    assert {number: message.attempts for number, message in again.live.items()} == kept
+    assert again.report.records <= most and again.report.clean
+    bound = store.REPLAY_RECORDS + store.REPLAY_PER_LIVE * live
+    assert most <= bound + live + 2 * store.SEGMENT_RECORDS
