--- a/tests/lives.py
+++ b/tests/lives.py
@@ -114,6 +114,9 @@
         self.node.attempt_ended(Result(attempt, endpoint, outcome, CALL_S * 1000.0, 0.0, over))
 
 
+SEEN = ("taken", "offered", "answers", "sends", "may_have_run", "out", "delivered", "told", "broken")
+
+
 class Outside:
     """What clients, the partner and the platform saw, over all lives; `broken` has the rules broken."""
 
@@ -153,6 +156,15 @@
         if result == "bounced" and self.offered[name] == "pay" and name in self.may_have_run:
             self.broken.append(f"unsafe {name!r} was refused, but it may have run")
 
+    def copy(self) -> Outside:
+        """As it is after a kill, for another life than the one that follows here."""
+        assert not self.time.queue, "its process still runs"
+        other = Outside()
+        other.time.now, other.time.wall = self.time.now, self.time.wall
+        for name in SEEN:
+            setattr(other, name, getattr(self, name).copy())
+        return other
+
     def killed(self) -> None:
         self.may_have_run |= self.out
         self.out.clear()
@@ -206,9 +218,9 @@
         self.node.offer(Offer(name, cls, 7, 5000.0, body, attributes=attributes, remember=remember), answer)
 
 
-def virtual(work) -> None:
-    """Run a history: the node takes its times from the virtual clock meanwhile."""
-    outside = Outside()
+def virtual(work, outside: Outside | None = None) -> None:
+    """Run a history, or what follows one: the node takes its times from the virtual clock meanwhile."""
+    outside = outside or Outside()
 
     async def run() -> None:
         module, node_module.time = node_module.time, Wall(outside.time)
--- a/tests/test_journal_crash.py
+++ b/tests/test_journal_crash.py
@@ -2,6 +2,7 @@
 
 import errno
 import itertools
+import shutil
 
 import pytest
 from lives import DISK, WALL, Life, load, settle, virtual
@@ -56,20 +57,29 @@
     return reached
 
 
-def fresh(tmp_path_factory):
-    return tmp_path_factory.mktemp("state")
+@pytest.fixture
+def fresh(tmp_path):
+    """Makes a new folder at each call. (`tmp_path_factory` looks through all that it has made before.)"""
+    numbers = itertools.count()
+
+    def made():
+        folder = tmp_path / str(next(numbers))
+        folder.mkdir()
+        return folder
+
+    return made
 
 
 @pytest.mark.parametrize("how", HOWS)
-def test_a_crash_at_each_operation_loses_nothing_and_doubles_nothing(tmp_path_factory, how):
+def test_a_crash_at_each_operation_loses_nothing_and_doubles_nothing(fresh, how):
     at = 1
-    while played(fresh(tmp_path_factory), (at, how))[0]:
+    while played(fresh(), (at, how))[0]:
         at += 1
     assert at > MESSAGES, "the run has too few operations to prove anything"
 
 
 @pytest.mark.parametrize("how", HOWS)
-def test_an_event_posted_again_after_a_crash_at_any_operation_does_not_run_anew(tmp_path_factory, how):
+def test_an_event_posted_again_after_a_crash_at_any_operation_does_not_run_anew(fresh, how):
     # Each is posted again in the second life: some have ended by then, some are out, some were never taken.
     def crashed(folder, at):
         reached = []
@@ -97,7 +107,7 @@
         return reached[0]
 
     at = 1
-    while crashed(fresh(tmp_path_factory), at):
+    while crashed(fresh(), at):
         at += 1
     assert at > EVENTS, "the run has too few operations to prove anything"
 
@@ -111,14 +121,26 @@
         return super().act(work)
 
 
-def twice(folder, at, how, second, second_how):
-    """A life that dies, one that resumes what it left and dies too, and one that ends it all. Whether the
-    first died, and where the second did: in its recovery, in what follows, or not at all."""
+def died(folder, at, how):
+    """A life that dies there: its folder, what was seen of it outside, and whether it came to that."""
+    found = []
+
+    def work(outside):
+        files = DyingFiles(folder, at, how, DISK)
+        history(outside, files, 0, RESUMED)
+        found.extend((folder, outside, files.reached))
+
+    virtual(work)
+    return tuple(found)
+
+
+def resumed(folder, left, outside, second, second_how):
+    """A life that resumes what one left that died, and dies too, and one that ends it all. Where the second
+    died: in its recovery, in what follows, or not at all."""
+    shutil.copytree(left, folder, dirs_exist_ok=True)
     found = []
 
     def work(outside):
-        first = DyingFiles(folder, at, how, DISK)
-        history(outside, first, 0, RESUMED)
         files = DyingFiles(folder, second, second_how, DISK)
         where = "recovery"
         try:
@@ -132,26 +154,29 @@
         files.die()
         assert files.most <= DISK
         ends(outside, folder)
-        found.extend((first.reached, where))
+        found.append(where)
 
-    virtual(work)
-    return found
+    virtual(work, outside.copy())
+    return found[0]
 
 
 @pytest.mark.parametrize("part", range(PARTS))
-def test_a_crash_at_each_operation_of_each_recovery_is_one_more_crash(tmp_path_factory, part):
+def test_a_crash_at_each_operation_of_each_recovery_is_one_more_crash(fresh, part):
     # Two deep: for each crash of the first life, each operation of the second, in each way of both for those
     # of its recovery; for those after it the ways take turns.
     at, recoveries, reached = 1 + part, 0, True
     while reached:
+        firsts = {how: died(fresh(), at, how) for how in HOWS}
         second, where = 1, "recovery"
         while where:
             turns = (HOWS[at % len(HOWS)], HOWS[(at // len(HOWS) + second) % len(HOWS)])
-            reached, where = twice(fresh(tmp_path_factory), at, turns[0], second, turns[1])
+            left, outside, reached = firsts[turns[0]]
+            where = resumed(fresh(), left, outside, second, turns[1])
             if where == "recovery":
                 recoveries += 1
-                for hows in itertools.product(HOWS, HOWS):
-                    twice(fresh(tmp_path_factory), at, hows[0], second, hows[1])
+                for first, second_how in itertools.product(HOWS, HOWS):
+                    left, outside, _ = firsts[first]
+                    resumed(fresh(), left, outside, second, second_how)
             second += 1
         at += PARTS
     assert at > RESUMED and recoveries > RESUMED, "the run has too few operations to prove anything"
@@ -186,10 +211,10 @@
 
 @pytest.mark.parametrize("short", [False, True])
 @pytest.mark.parametrize("lasting", [1, 25])
-def test_an_error_of_the_disk_at_each_operation_heals_and_loses_nothing(tmp_path_factory, lasting, short):
+def test_an_error_of_the_disk_at_each_operation_heals_and_loses_nothing(fresh, lasting, short):
     at = 1
     while True:
-        files = FailingFiles(fresh(tmp_path_factory), at, lasting, short, errno.ENOSPC)
+        files = FailingFiles(fresh(), at, lasting, short, errno.ENOSPC)
 
         def work(outside, files=files):
             try:
