Tests: no descriptor is left means none, whatever number was free below

Where a lower one than the idle connection's had come free since it was opened, as by what earlier tests of the worker left to be collected, the number that the idle connection gave back was above the limit, and of no use. Ruled out: the program, which let the idle one go.

Change: the limit is above all that are open, and what is free below is taken; what earlier tests left is collected first.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import errno
+import gc
 import json
 import os
 import resource
@@ -168,24 +169,33 @@
 
 @contextlib.contextmanager
 def none_left():
-    """This process gets no further descriptor."""
-    free = os.dup(0)
-    os.close(free)
+    """This process gets no further descriptor, and one where one is closed: none below the limit is free."""
+    gc.collect()  # what earlier tests left would free some meanwhile
+    most = max(map(int, os.listdir("/proc/self/fd"))) + 1
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+    taken = [os.dup(0)]
+    while taken[-1] < most:
+        taken.append(os.dup(0))
+    os.close(taken.pop())
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
     try:
         yield
     finally:
         resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        for free in taken:
+            os.close(free)
 
 
 def test_without_a_descriptor_an_idle_connection_gives_way_and_else_the_endpoint_is_not_blamed():
+    lower = os.dup(0)  # closed after the connection came up: the system deals out the lowest free one
+
     @with_caller()
     async def _(caller):
         other = await Peer().start()
         caller.endpoints.place("e2", Place(other.address, 8, 1, State.READY))
         caller.send(1)
         request = await caller.partner.next()
+        os.close(lower)
         with none_left():
             caller.send(2, endpoint="e2")
             assert await caller.result() == (Outcome.MOOT, False, 0.0)
