With all listeners on, a crowd at each takes no more descriptors than are kept for it

Need: that idle clients may fill the descriptors was shown with RESP2 alone.

Found: asyncio accepts as many connections in one step as its backlog says, 64 at the control address, before any caller has given way, while 20 descriptors are kept for callers. And each front accepted 16 in a step: as each makes one client give way, which holds its descriptor up to the next step, two fronts held 32 where 16 are kept.

With one listener nothing changes. Under uvloop the control address accepts all that wait at once, as before: not mended, not measured.

--- a/rushhitch/control/server.py
+++ b/rushhitch/control/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 
 from rushhitch.control.words import MOST_LINE, refusal, whole
@@ -12,7 +13,7 @@
 
 MOST_CALLERS = 16  # at once: operators and their tools are few, and each takes a descriptor
 CALL_S = 10.0  # a caller that has not finished its line by then is sent away
-BACKLOG = 64
+BACKLOG = 64  # callers that may wait to be accepted
 
 
 class Caller(asyncio.Protocol):
@@ -80,9 +81,16 @@
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: tuple[str, int]) -> tuple[str, int]:
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
-        return self.server.sockets[0].getsockname()
+        """asyncio accepts as many in one step as its `backlog` says, before any has given way: here one, or a
+        crowd of callers takes everybody's descriptors. The system's queue is longer."""
+        loop, listener = asyncio.get_running_loop(), socket.create_server(address)
+        try:
+            self.server = await loop.create_server(lambda: Caller(self), sock=listener, backlog=1)
+        except BaseException:
+            listener.close()
+            raise
+        listener.listen(BACKLOG)
+        return listener.getsockname()
 
     def enter(self, caller: Caller) -> None:
         """Guards against callers who connect and say nothing: the oldest of them gives way."""
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -4,6 +4,7 @@
 import contextlib
 import errno
 import gc
+import itertools
 import json
 import os
 import resource
@@ -31,18 +32,19 @@
 
 
 class Crowd:
-    """Clients that connect and rest, every second one after a PING, and come again when they are closed."""
+    """Clients that connect and rest, every second one after a PING, and come again when they are closed. They
+    take the addresses in turn."""
 
-    def __init__(self, address):
-        self.address = address
-        self.tasks = [asyncio.ensure_future(self.stay(number % 2 == 0)) for number in range(CROWD)]
+    def __init__(self, *addresses):
+        turns = zip(range(CROWD), itertools.cycle(addresses))
+        self.tasks = [asyncio.ensure_future(self.stay(address, number % 2 == 0)) for number, address in turns]
         self.came = self.closed = 0
         self.brim = asyncio.Event()  # one was closed or shut out: no more are let in
 
-    async def stay(self, asks):
+    async def stay(self, address, asks):
         while True:
             with contextlib.suppress(OSError):
-                reader, writer = await asyncio.open_connection(*self.address)
+                reader, writer = await asyncio.open_connection(*address)
                 try:
                     self.came += 1
                     if asks:
@@ -107,18 +109,48 @@
     return sorted(int(p.name[8:-4]) for p in (program.folder / "state").glob("segment-*"))
 
 
+EVENTS = """[journal]
+sync = "batch"
+[cloudevents]
+listen = "{}:{}"
+types = {{ "com.example.paid" = "pay" }}
+"""
+
+
+class AllListeners(Program):
+    """CloudEvents are taken, operators are answered, and the journal is synced beside the loop."""
+
+    async def start(self):
+        control, events = getattr(self, "others", 2 * [("127.0.0.1", 0)])
+        self.own = self.folder / "own.toml"
+        self.own.write_text(EVENTS.format(*events))
+        self.control = "{}:{}".format(*control)
+        await super().start()
+        places = [line.rsplit(" ", 1)[1].strip().split(":") for line in self.log if " on 127." in line][-3:]
+        self.others = [(host, int(port.split(",")[0])) for host, port in places[:2]]
+
+    def config(self):
+        return super().config() | {"control": self.control}
+
+
 @pytest.mark.parametrize(
-    "descriptors, sockets", [(FEW, 1024), (None, FEW)], ids=["the system has few", "the platform allows few"]
+    "kind, descriptors, sockets",
+    [(Program, FEW, 1024), (Program, None, FEW), (AllListeners, FEW, 1024)],
+    ids=["the system has few", "the platform allows few", "with all listeners"],
 )
 def test_with_idle_clients_to_the_brim_over_a_restart_without_discovery_all_else_goes_on(
-    tmp_path, descriptors, sockets
+    tmp_path, monkeypatch, kind, descriptors, sockets
 ):
+    if kind is AllListeners:
+        monkeypatch.setenv("RUSHHITCH_TOML", str(tmp_path / "own.toml"))
+
     async def work():
-        program = await Program(tmp_path).surroundings()
+        program = await kind(tmp_path).surroundings()
         program.descriptors, program.sockets, program.disk_mb = descriptors, sockets, 0.3
         await program.start()
         program.listen = f"127.0.0.1:{program.port}"
-        crowd, look = Crowd(("127.0.0.1", program.port)), Descriptors(program)
+        others = getattr(program, "others", [])
+        crowd, look = Crowd(("127.0.0.1", program.port), *others), Descriptors(program)
         try:
             watch = await watched(program.platform)
             await crowd.brim.wait()
