--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -258,7 +258,7 @@
 
     def accept(self, listener: socket.socket, front: Callable[[Clients], ClientConnection]) -> bool:
         """Whether more may be waiting."""
-        # Who gives way holds its descriptor up to the next step, whichever of the listeners it makes room for.
+        # Who gives way holds its descriptor up to the next step, whichever listener it makes room for.
         for _ in range(ACCEPTS // len(self.listeners)):
             if sum(not client.placed for client in self.coming) >= ACCEPTS:
                 return True
