--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import re
 import socket
-import time
 from collections.abc import Callable
 
 import h11
@@ -33,8 +31,11 @@
     return host, int(port)
 
 
-class TooLate(Exception):
-    """The time is over by which a request's last byte has to reach the other side; it was not written."""
+class NotSent(Exception):
+    """The last byte of a request was held back: by then something spoke against it. It has not been sent."""
+
+
+Commit = Callable[[], None]  # asked in the step of the last byte; raises `NotSent` to hold it back
 
 
 class Connection:
@@ -69,16 +70,15 @@
         target: str,
         headers: Headers,
         body: bytes = b"",
-        look: bool = False,
-        by: float = math.inf,
+        commit: Commit | None = None,
     ) -> None:
         """Write a whole request; it has not been sent if this raises.
 
-        With `look` the last byte waits a moment. It guards against connections that are dead without our
+        With `commit` the last byte waits a moment. It guards against connections that are dead without our
         knowing, dropped as idle or reset as the request comes in: without its last byte the request cannot
         have run, and even one that must not run twice may be sent anew. It costs each request that moment.
-        Such a request has `TooLate` raised where its last byte might arrive after `by`: the other side may
-        have been slow to take the rest, and the last byte needs some of a look's time for its way.
+        `commit` is then asked whether the request is still to be sent, in the same step as the system call
+        that writes the byte.
         """
         self.written, self.head, self.interim = False, b"", 0
         headers = [(b"Host", "{}:{}".format(*self.address).encode()), *headers]
@@ -89,16 +89,34 @@
             parts.append(self.http.send(h11.Data(data=body)))
         parts.append(self.http.send(h11.EndOfMessage()))
         data = b"".join(part for part in parts if part)
-        if look:
+        if commit is None:
+            await self.loop.sock_sendall(self.sock, data)
+        else:
             await self.loop.sock_sendall(self.sock, data[:-1])
-            await self.still_up()
-            if time.monotonic() + self.look_s > by:  # some loops' clocks stand still within a step
-                raise TooLate
-            data = data[-1:]
-        await self.loop.sock_sendall(self.sock, data)
+            await self.confirm_alive()
+            await self.write_last(data[-1:], commit)
         self.written = True
 
-    async def still_up(self) -> None:
+    async def write_last(self, byte: bytes, commit: Commit) -> None:
+        """Write the last byte once the system takes it; `commit` is asked anew before each try."""
+        while True:
+            commit()
+            try:
+                self.sock.send(byte)
+                return
+            except (BlockingIOError, InterruptedError):
+                await self.writable()
+
+    async def writable(self) -> None:
+        """Until the system takes more."""
+        ready = self.loop.create_future()
+        self.loop.add_writer(self.sock, lambda: ready.done() or ready.set_result(None))
+        try:
+            await ready
+        finally:
+            self.loop.remove_writer(self.sock)
+
+    async def confirm_alive(self) -> None:
         """Watch the connection for a moment; raise if it ends."""
         stirred = self.loop.create_future()
         timer = self.loop.call_later(self.look_s, lambda: stirred.done() or stirred.set_result(None))
--- a/rushhitch/core/handing.py
+++ b/rushhitch/core/handing.py
@@ -8,6 +8,7 @@
 
 from crowpier import learned
 from crowpier.interface import Outcome
+from rushhitch.core.lifecycle import Phase
 from rushhitch.core.messages import Loan
 from rushhitch.core.node import Node
 from rushhitch.endpoints import Result
@@ -25,7 +26,7 @@
         """Send nothing more; what is not written whole is called back, and what came in is in the journal.
         False where the disk does not take it: then nothing can be handed over."""
         node = self.node
-        node.frozen = True
+        node.lifecycle.enter(Phase.QUIESCING)
         await node.endpoints.freeze()
         node.turn()
         await node.committer.quiet()
@@ -33,8 +34,9 @@
 
     async def end_calls(self) -> None:
         """This process ends and no other carries its calls on. All that they prove is in the journal before
-        it is closed: later, it may be another process's."""
+        it is closed: later, it may be another process's. What is read from then on is refused at once."""
         await self.node.endpoints.hear_out()
+        self.node.lifecycle.enter(Phase.CLOSED)
         self.node.turn()  # who handed something in meanwhile is answered, too
         await self.node.committer.quiet()
 
@@ -54,7 +56,7 @@
             "servers": list(node.listing.servers.values()),
             **self.more(),
         }
-        node.yielded = True
+        node.lifecycle.enter(Phase.RELINQUISHED)
         node.endpoints.report = report
         if node.reminder is not None:
             node.reminder.cancel()
--- /dev/null
+++ b/rushhitch/core/lifecycle.py
@@ -0,0 +1,131 @@
+"""The life of a request, and the one place that decides whether something may still be done for it.
+
+A decision is made at one moment and takes effect at a later one: by then the request may have ended. So every
+effect asks here, in the same step as its system call, and is dropped where the answer is no. The invariants:
+
+- nothing of a request leaves the process, and nothing is repeated, unless its client was told that it is
+  accepted and its end has not been given;
+- it is recorded as accepted at most once, and ends at most once;
+- the platform is told of an end only after that end;
+- a process that quiesces sends nothing more, and one that has relinquished its folder does nothing more.
+
+A refusal is normal where two sides race (a message ends while its call is being written); each is counted and
+reported, by effect and stage. No I/O, no clock.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Protocol
+
+
+class Stage(IntEnum):
+    """How far a request has come."""
+
+    RECEIVED = 0  # read whole; its client waits, and no file tells of it
+    RECORDED = 1  # the journal tells of it, not of its acceptance: its client still waits
+    ACCEPTED = 2  # its client was told so, or is in this step: its end is owed
+    ENDED = 3  # delivered, or answered or notified as refused or failed
+    WITHDRAWN = 4  # its client went without an answer: nothing is owed
+
+
+class Effect(IntEnum):
+    """What may be done for a request."""
+
+    RECORD = 0  # write it to the journal, not accepted yet
+    ACCEPT = 1  # record it as accepted and answer its client so
+    REJECT = 2  # answer its client that it is refused or has failed
+    WITHDRAW = 3  # drop it, since its client cannot be answered
+    SEND = 4  # write the last byte of a call with it
+    DELIVER = 5  # end it by a partner's word
+    EXPIRE = 6  # end it by a notice that it is refused or has failed
+    NOTIFY = 7  # tell the platform of that end
+
+
+class Phase(IntEnum):
+    """What the process as a whole may still do."""
+
+    SERVING = 0
+    QUIESCING = 1  # nothing new is sent; what comes in is still accepted
+    CLOSED = 2  # nothing new is accepted either; what was read before is still answered
+    RELINQUISHED = 3  # another process owns every request
+
+
+TRANSITIONS: dict[tuple[Stage, Effect], Stage] = {
+    (Stage.RECEIVED, Effect.RECORD): Stage.RECORDED,
+    (Stage.RECEIVED, Effect.ACCEPT): Stage.ACCEPTED,
+    (Stage.RECEIVED, Effect.REJECT): Stage.ENDED,
+    (Stage.RECEIVED, Effect.WITHDRAW): Stage.WITHDRAWN,
+    (Stage.RECORDED, Effect.ACCEPT): Stage.ACCEPTED,
+    (Stage.RECORDED, Effect.REJECT): Stage.ENDED,
+    (Stage.RECORDED, Effect.WITHDRAW): Stage.WITHDRAWN,
+    (Stage.ACCEPTED, Effect.SEND): Stage.ACCEPTED,
+    (Stage.ACCEPTED, Effect.DELIVER): Stage.ENDED,
+    (Stage.ACCEPTED, Effect.EXPIRE): Stage.ENDED,
+    (Stage.ENDED, Effect.NOTIFY): Stage.ENDED,
+}
+ENDS_WITH = {  # the last phase in which an effect may happen; the others may up to `CLOSED`
+    Effect.SEND: Phase.SERVING,
+}
+
+
+class Request(Protocol):
+    """What a lifecycle knows of a request."""
+
+    number: int
+    stage: Stage
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """An effect that was refused: whose, and at which stage of the request and phase of the process."""
+
+    request: int
+    effect: Effect
+    stage: Stage
+    phase: Phase
+
+
+class Lifecycle:
+    """Decides on the effects of all requests of a process. `report` hears of each refusal."""
+
+    def __init__(self, report: Callable[[Refusal], None] = lambda refusal: None) -> None:
+        self.report = report
+        self.phase = Phase.SERVING
+        self.refused: Counter[tuple[Effect, Stage, Phase]] = Counter()
+
+    def enter(self, phase: Phase) -> None:
+        """The process goes on to a later phase; it never goes back but from `QUIESCING` to `SERVING`, where
+        a handover does not come about."""
+        if phase < self.phase and (self.phase, phase) != (Phase.QUIESCING, Phase.SERVING):
+            return
+        self.phase = phase
+
+    def accepting(self) -> bool:
+        """Whether a request that is read now may be taken in."""
+        return self.phase < Phase.CLOSED
+
+    def permits(self, request: Request, effect: Effect) -> bool:
+        """Whether this may be done for the request now. A refusal is counted and reported."""
+        if self.phase <= ENDS_WITH.get(effect, Phase.CLOSED) and (request.stage, effect) in TRANSITIONS:
+            return True
+        self.refused[effect, request.stage, self.phase] += 1
+        self.report(Refusal(request.number, effect, request.stage, self.phase))
+        return False
+
+    def advance(self, request: Request, effect: Effect) -> bool:
+        """The same, and the request goes on to the stage that follows."""
+        if not self.permits(request, effect):
+            return False
+        request.stage = TRANSITIONS[request.stage, effect]
+        return True
+
+    def counts(self) -> dict[str, int]:
+        """The refusals so far, by effect, stage and phase in words."""
+        return {
+            f"{effect.name}/{stage.name}/{phase.name}".lower(): count
+            for (effect, stage, phase), count in sorted(self.refused.items())
+        }
--- a/rushhitch/core/messages.py
+++ b/rushhitch/core/messages.py
@@ -5,9 +5,10 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from rushhitch.core.lifecycle import Stage
 from rushhitch.endpoints import Result
 from rushhitch.journal import Kept
-from rushhitch.taker import Answer, Verdict
+from rushhitch.taker import Answer, Reachable, Verdict, always_reachable
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,8 +32,9 @@
     attempts: int
     due: float  # when its time is up, by the clock of the event loop, in seconds
     answer: Answer | None = None
+    reachable: Reachable = always_reachable  # whether that client can be answered in this step
+    stage: Stage = Stage.ACCEPTED  # changed by `Lifecycle.advance` alone
     enders: list[Answer] = field(default_factory=list)  # those who want to hear its end
-    over: bool = False
     out: set[int] = field(default_factory=set)
     handed: bool = False  # the module is done with it; its partner's acknowledgement is to come
     pending: Result | None = None  # of a call that to the module is out until the acknowledgement comes
@@ -40,3 +42,8 @@
     sink: bytes = b""  # the event's attributes, where its end is to be told to a sink
     verdict: Verdict | None = None  # one that came before its call had ended
     watchdog: asyncio.TimerHandle | None = None
+
+    @property
+    def over(self) -> bool:
+        """Whether nothing more is owed for it."""
+        return self.stage >= Stage.ENDED
--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -17,9 +17,11 @@
 from crowpier.interface import Outcome, Settings
 from rushhitch.config.history import History
 from rushhitch.control.bans import Bans
-from rushhitch.core.acknowledgements import ACKNOWLEDGED, UNKNOWN, Effect, Past, effect
+from rushhitch.core.acknowledgements import ACKNOWLEDGED, UNKNOWN, Past, effect
+from rushhitch.core.acknowledgements import Effect as Acknowledged
 from rushhitch.core.ended import KEEP_S, MOST, End, Ended
 from rushhitch.core.figures import Figures
+from rushhitch.core.lifecycle import Effect, Lifecycle, Phase, Refusal, Stage
 from rushhitch.core.limits import Limits
 from rushhitch.core.listing import Listing
 from rushhitch.core.messages import Loan, Message
@@ -38,8 +40,10 @@
     BadRequest,
     Offer,
     Pending,
+    Reachable,
     Reply,
     Verdict,
+    always_reachable,
 )
 
 if TYPE_CHECKING:
@@ -76,8 +80,15 @@
         self.settings, self.dispatcher, self.journal, self.notify = settings, dispatcher, journal, notify
         self.keep_s = keep_s
         self.loop = asyncio.get_running_loop()
+        self.lifecycle = Lifecycle(log_refusal)
         self.endpoints = Endpoints(
-            settings, self.attempt_ended, self.dropped, connections, self.withdrawn, self.begin
+            settings,
+            self.attempt_ended,
+            self.dropped,
+            connections,
+            self.withdrawn,
+            self.begin,
+            self.may_send,
         )
         self.classes = {cls.name: position for position, cls in enumerate(settings.classes)}
         self.tenants = {tenant.name: position for position, tenant in enumerate(settings.tenants)}
@@ -86,7 +97,6 @@
         self.bans = bans  # endpoints that operators took out
         self.limits = Limits(settings.dispatchers, self.note, dispatcher.held)
         self.listing = Listing(settings, codecs or {}, self.endpoints, journal, self.limits, self.note)
-        self.frozen = self.yielded = False  # sends nothing more; another process owns all
         self.lent: dict[tuple[int, int], Loan] = {}  # attempts that an earlier process carries to their end
         self.call_back: Callable[[int, int], None] = lambda message, attempt: None  # one of them
         self.ahead_s: float | None = None  # of the loop's clock is the steady one, `journal.steady`
@@ -114,8 +124,13 @@
 
     # Events
 
+    @property
+    def relinquished(self) -> bool:
+        """Whether another process owns the journal and all requests."""
+        return self.lifecycle.phase is Phase.RELINQUISHED
+
     def note(self, event: api.Event) -> None:
-        if self.yielded:
+        if self.relinquished:
             return
         self.events.append(event)
         if not self.gathering:
@@ -143,9 +158,15 @@
             self.endpoints.settings = self.settings
             self.note(api.Reconfigured(self.settings))
 
-    def offer(self, offer: Offer, answer: Answer, ended: Answer | None = None) -> int:
+    def offer(
+        self,
+        offer: Offer,
+        answer: Answer,
+        ended: Answer | None = None,
+        reachable: Reachable = always_reachable,
+    ) -> int:
         """A client hands a message in; it is answered at the end of the turn. `Taker` tells the rest."""
-        if self.yielded:
+        if not self.lifecycle.accepting():
             answer(Reply("refused", BUSY_MS))
             return 0
         if offer.cls not in self.classes:
@@ -196,6 +217,7 @@
             idempotency=offer.idempotency,
         )
         message = self.enter(kept, answer)
+        message.stage, message.reachable = Stage.RECEIVED, reachable
         if ended is not None:
             message.enders.append(ended)
         if self.limits.counts is not None:
@@ -245,12 +267,16 @@
     def withdraw(self, number: int) -> None:
         """The client went without its answer and may hand the message in anew: nothing is owed."""
         message = self.messages.get(number)
-        if message is not None and not message.over and not self.yielded:
+        if message is not None and message.answer is not None and not self.relinquished:
             message.answer = None
-            message.enders.clear()
-            message.sink = b""
-            self.close(message, end=WITHDRAWN)
-            self.note(api.Withdrawn(number))
+            self.drop(message)
+
+    def drop(self, message: Message) -> None:
+        """Its client went without an answer: nothing is done for it."""
+        message.enders.clear()
+        message.sink = b""
+        self.close(message, Effect.WITHDRAW, end=WITHDRAWN)
+        self.note(api.Withdrawn(message.number))
 
     def overdue(self, message: Message) -> None:
         """Guards against a message that fell through: its end is given even if the module gives none."""
@@ -370,19 +396,19 @@
             return
         kept, heard = message.kept, message.verdict is not None
         found = effect(told, kept.marks, message.attempts, len(message.out), message.handed, heard)
-        if found is Effect.UNKNOWN:
+        if found is Acknowledged.UNKNOWN:
             answer(UNKNOWN)
             return
-        if found is Effect.LATER:
+        if found is Acknowledged.LATER:
             answer(Reply("refused", BUSY_MS))
             return
-        if found is Effect.DELIVER:
-            self.close(message)
+        if found is Acknowledged.DELIVER:
+            self.close(message, Effect.DELIVER)
             if message.pending is not None:
                 self.attempt_ended(replace(message.pending, later=False))
             elif not message.handed:
                 self.note(api.Withdrawn(message.number))
-        elif found in (Effect.RETRY, Effect.AWAIT):
+        elif found in (Acknowledged.RETRY, Acknowledged.AWAIT):
             (attempt,) = (kept.handed,) if message.handed else message.out
             if told.verdict is Verdict.NOT_RUN:
                 self.journal.denied(message.number, attempt, told.mark)
@@ -438,8 +464,8 @@
             and not result.over
         ):
             self.journal.outcome(message.number, result.attempt.number, not result.outcome.never_ran)
-        if result.over and not later:
-            self.close(message)
+        if result.over and not later and not message.over:
+            self.close(message, Effect.DELIVER)
         self.save()
         self.note(
             api.AttemptEnded(
@@ -474,7 +500,7 @@
 
     def turn(self) -> None:
         """Hand the module what has come, and carry out what it says."""
-        if self.yielded:
+        if self.relinquished:
             return
         self.gathering = False
         events, self.events = self.events, []
@@ -501,17 +527,22 @@
                 self.act(action, sends)
             except Exception:
                 log.exception("not carried out: %r", action)
-        for message in fresh:
-            if not message.over:
-                self.journal.take(message.kept)
+        if self.journal.records_offers:
+            for message in fresh:
+                if not message.over and self.lifecycle.advance(message, Effect.RECORD):
+                    self.journal.offer(message.kept)
         self.save(lambda: self.carry_out(fresh, sends), lambda: self.undo(fresh, sends))
 
     def carry_out(self, fresh: list[Message], sends: dict[str, list[Attempt]]) -> None:
-        """The journal tells of all this now."""
+        """The journal tells of all this now, as far as it is to before anybody is answered."""
+        writable = True
         for message in fresh:
+            if message.over or message.answer is None:
+                continue
+            if writable and message.reachable():
+                writable = self.accept(message)
             if not message.over and message.answer is not None:
-                message.answer(TAKEN)
-                message.answer = None
+                self.reject(message)
         for endpoint, attempts in sends.items():
             wanted = []
             for attempt in attempts:
@@ -525,6 +556,34 @@
                     self.limits.counts.sent(endpoint, len(wanted), calls)
                 self.endpoints.send(endpoint, wanted)
 
+    def accept(self, message: Message) -> bool:
+        """Record one message as accepted and tell its client in the same step, before the next one's record.
+        So a kill leaves one message at most whose record is there and whose answer is not. False where the
+        disk does not take the record: then no file has it, nor will."""
+        answer = message.answer
+        if answer is None or not self.lifecycle.permits(message, Effect.ACCEPT):
+            return True
+        self.journal.accept(message.kept)
+        if not self.committer.write():
+            return False
+        message.answer = None
+        if answer(TAKEN) is False:  # the connection broke under the answer: its client cannot have heard
+            self.drop(message)
+            self.save()
+            return True
+        self.lifecycle.advance(message, Effect.ACCEPT)
+        return True
+
+    def reject(self, message: Message) -> None:
+        """Refuse what is not accepted; its client may come again."""
+        self.answer_end(message, "bounced", BUSY_MS)
+        self.note(api.Withdrawn(message.number))
+
+    def may_send(self, attempt: Attempt) -> bool:
+        """Whether the last byte of a call with this attempt may be written in this step."""
+        message = self.messages.get(attempt.message)
+        return message is not None and self.lifecycle.permits(message, Effect.SEND)
+
     def begin(self, endpoint: str, attempts: list[Attempt], go: Callable[[list[Attempt]], None]) -> None:
         """A call is about to be written. `go` hears which of its attempts are: those whose messages are not
         over, once the journal tells of them, and none where the disk does not take that. An earlier record
@@ -541,15 +600,14 @@
         """Guards against doing what the journal does not tell: nothing is taken on, nothing is sent."""
         for message in fresh:
             if not message.over:
-                self.answer_end(message, "bounced", BUSY_MS)
-                self.note(api.Withdrawn(message.number))
+                self.reject(message)
         for endpoint, attempts in sends.items():
             for attempt in attempts:
                 self.attempt_ended(Result(attempt, endpoint, Outcome.MOOT, 0.0))
 
     def act(self, action: api.Action, sends: dict[str, list[Attempt]]) -> None:
         match action:
-            case api.Send() if self.frozen:
+            case api.Send() if self.lifecycle.phase is not Phase.SERVING:
                 pass  # the process that goes on decides anew
             case api.Send(number, endpoint, stop_at_ms, start_by_ms):
                 message = self.messages[number]
@@ -620,22 +678,25 @@
             end = FAILED if result == "dead" else Reply("refused", wait_ms)
             answer(end)
             message.sink = b""
-            self.close(message, end=end)
+            self.close(message, Effect.REJECT, end=end)
+            return
+        if not self.lifecycle.permits(message, Effect.EXPIRE):
             return
         end = FAILED if result == "dead" else Reply("refused", wait_ms)
         self.tell_sink(message, end)
         if message.number in self.journal.live:
             self.journal.owe(message.number, result, wait_ms)
         self.notices.append((message.number, message.kept.id, result, wait_ms))
-        self.close(message, noticed=True, end=end)
+        self.close(message, Effect.EXPIRE, end=end)
 
-    def close(self, message: Message, noticed: bool = False, end: Reply = DELIVERED) -> None:
+    def close(self, message: Message, effect: Effect, end: Reply = DELIVERED) -> None:
         """The message is over; with a notice the journal keeps it until that is heard. Those who wait for its
         end hear it as soon as the journal tells of it."""
-        if message.over:
+        if not self.lifecycle.permits(message, effect):
             return
         self.tell_sink(message, end)
-        message.over = True
+        self.lifecycle.advance(message, effect)
+        noticed = effect is Effect.EXPIRE
         if end is not WITHDRAWN:
             self.figures.ended(message.kept.cls, end.what)
         self.ends += [(ended, end) for ended in message.enders]
@@ -698,7 +759,7 @@
         """Write what was noted. `then`, and the notices due, follow once it is there; `otherwise` where the
         disk does not take it, and what was noted is tried again soon. Guards against an end that is told and
         then forgotten: after a restart the message would be sent as if nobody had been told."""
-        if self.yielded:  # the folder is another process's
+        if self.relinquished:  # the folder is another process's
             return
         notices, self.notices = self.notices, []
         ends, self.ends = self.ends, []
@@ -724,6 +785,17 @@
         self.save()
 
 
+def log_refusal(refusal: Refusal) -> None:
+    """One line for an effect that came too late: what was refused, for which request, and why."""
+    fields = {
+        "request": refusal.request,
+        "effect": refusal.effect.name.lower(),
+        "stage": refusal.stage.name.lower(),
+        "phase": refusal.phase.name.lower(),
+    }
+    log.info("an effect was refused", extra=fields)
+
+
 def older(event: api.Arrived, by_ms: float) -> api.Arrived:
     """The same a while later. Guards against windows that seem longer by the time from the look at an age to
     the turn in which the module hears of it: at a start with many messages, that may be long."""
--- a/rushhitch/core/operators.py
+++ b/rushhitch/core/operators.py
@@ -50,6 +50,6 @@
     def info(self) -> dict[str, Any]:
         """The figures as of now; what was handed over is told by the process that has it."""
         node = self.node
-        held = 0 if node.yielded else len(node.by_id)
+        held = 0 if node.relinquished else len(node.by_id)
         known = len(node.listing.entries), node.dispatcher.avoided()
         return node.figures.report(node.endpoints.written, held, *known)
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import functools
 import logging
 import math
 import time
@@ -14,7 +15,7 @@
 import h11
 
 from crowpier.interface import Outcome, Settings, State
-from rushhitch.connection import Connection, Headers, TooLate
+from rushhitch.connection import Connection, Headers, NotSent
 from rushhitch.partners.codec import Attempt, Codec, Ends
 from rushhitch.partners.platform import Platform, head_outcome
 
@@ -105,10 +106,12 @@
         most: int = 256,
         withdrawn: Callable[[str], None] = lambda endpoint: None,
         begin: Callable[[str, list[Attempt], Going], None] = lambda endpoint, attempts, go: go(attempts),
+        may_send: Callable[[Attempt], bool] = lambda attempt: True,
     ) -> None:
         self.settings, self.report, self.dropped = settings, report, dropped
         self.withdrawn = withdrawn  # an endpoint said that it wants nothing any more
         self.begin = begin  # before the first byte of a call
+        self.may_send = may_send  # asked in the step of its last byte
         self.most = most  # connections, with a call or idle
         self.loop = asyncio.get_running_loop()
         self.places: dict[str, Place] = {}
@@ -328,7 +331,8 @@
                 while connection is None:
                     connection = call.connection = await self.connected(call)
                     if not call.begun and not self.stopped(connection, call, attempts):
-                        attempts = await self.admit(call, attempts)
+                        await self.record(call, attempts)
+                    attempts = self.still_open(call, attempts)
                     if self.stopped(connection, call, attempts):
                         broken = Outcome.MOOT
                         break
@@ -353,7 +357,8 @@
         except NoRoom as error:
             log.warning("not sent to %s: %s", call.endpoint, error)
             broken = Outcome.MOOT
-        except TooLate:
+        except NotSent as error:
+            log.info("a call was held back", extra={"endpoint": call.endpoint, "reason": str(error)})
             broken, call.recalled = Outcome.MOOT, True  # most of it is written: its connection is of no use
         except h11.ProtocolError as error:
             log.debug("the answer of %s is spoilt: %r", call.endpoint, error)
@@ -410,8 +415,9 @@
             return Outcome.ERROR, False  # its answer began and did not end
         return broken, False
 
-    async def admit(self, call: Call, attempts: list[Attempt]) -> list[Attempt]:
-        """Its connection is up and nothing is written: who is not over goes out, once the journal tells."""
+    async def record(self, call: Call, attempts: list[Attempt]) -> None:
+        """Its connection is up and nothing is written: the journal tells of the attempts first. Those whose
+        messages are over, or that the disk does not take, end here."""
         call.begun = True
         attempts = [attempt for attempt in attempts if (attempt.message, attempt.number) in call.open]
         told: asyncio.Future[list[Attempt]] = self.loop.create_future()
@@ -420,9 +426,28 @@
         for attempt in attempts:
             if attempt not in going:
                 self.end(call, attempt, Outcome.MOOT)
-        going = [attempt for attempt in going if (attempt.message, attempt.number) in call.open]
-        call.ids = [attempt.id for attempt in going]
-        return going
+
+    def still_open(self, call: Call, attempts: list[Attempt]) -> list[Attempt]:
+        """Those that go into the request which is written in this step. Connecting takes time, and each
+        further connection of a call takes it anew."""
+        for attempt in list(call.open.values()):
+            if not self.may_send(attempt):
+                self.end(call, attempt, Outcome.MOOT)
+        attempts = [attempt for attempt in attempts if (attempt.message, attempt.number) in call.open]
+        call.ids = [attempt.id for attempt in attempts]
+        return attempts
+
+    def commit(self, connection: Connection, call: Call, attempts: list[Attempt]) -> None:
+        """The last look, in the step of a call's last byte. Raises `NotSent` where it must not go: the bytes
+        before it hold all messages of the call, so one that is over holds back the others as well, which
+        have not run and go on in another call."""
+        if call.recalled or self.barred(call.endpoint):
+            raise NotSent("its endpoint takes nothing now")
+        if time.monotonic() + connection.look_s > start_by(attempts):  # some loops' clocks stand still
+            raise NotSent("its time to begin is over")
+        for attempt in attempts:
+            if (attempt.message, attempt.number) not in call.open or not self.may_send(attempt):
+                raise NotSent(f"message {attempt.message} is over")
 
     def stopped(self, connection: Connection, call: Call, attempts: list[Attempt]) -> bool:
         return not attempts or self.barred(call.endpoint) or self.too_late(connection, attempts)
@@ -437,14 +462,14 @@
 
     def too_late(self, connection: Connection, attempts: list[Attempt]) -> bool:
         """Guards against a repeat that was decided in time and counts twice all the same: its connection took
-        longer to come up than was left. `Connection.send` looks again before the last byte."""
+        longer to come up than was left. `commit` looks again before the last byte."""
         return self.loop.time() + LATE_LOOKS * connection.look_s >= start_by(attempts)
 
     async def request(self, connection: Connection, call: Call, attempts: list[Attempt]) -> None:
         left = min(attempt.stop_at for attempt in attempts) - self.loop.time()
         written = call.codec.write(attempts, left * 1000.0)
-        by = start_by(attempts)
-        await connection.send("POST", written.target, written.headers, written.body, look=True, by=by)
+        commit = functools.partial(self.commit, connection, call, attempts)
+        await connection.send("POST", written.target, written.headers, written.body, commit)
 
     async def answer(self, connection: Connection, call: Call) -> Ends:
         """How each message ended. Guards against spoilt answers: one counts when the whole of it is read."""
--- a/rushhitch/fronts/cloudevents.py
+++ b/rushhitch/fronts/cloudevents.py
@@ -35,7 +35,7 @@
 
 STATUS = {"taken": 202, "delivered": 200, "failed": 502, "refused": 503}
 STATUS |= {"acknowledged": 200, "unknown": 404, "differs": 409, "late": 410}
-FAULTS = {Fault.BAD: 400, Fault.LATE: 408, Fault.CROWD: 503}
+FAULTS = {Fault.BAD: 400, Fault.LATE: 408, Fault.CROWD: 503, Fault.LEAVING: 503}
 DETAIL = {
     "failed": "the event was not delivered, or may have been: to send it again as a new event may repeat it",
     "refused": "the event was not taken on, or never left: to send it again does no harm",
@@ -225,6 +225,21 @@
         idle = self.http.our_state is h11.IDLE and not (self.slots or self.size or self.ended)
         return b"" if idle and not (self.deaf or self.full or self.finishing) else None
 
+    def turned_away(self) -> bytes:
+        return self.response(Outcome.problem(503, "the process ends", REFUSED_MS), close=True)
+
+    def withdraw_requests(self) -> None:
+        """What is known of a request's events is told; those with no answer yet are withdrawn. Its client may
+        post all of them again: by their ids, what was taken on is not a new one."""
+        intake = self.intake
+        if intake is not None and not intake.over:
+            intake.finish()
+        if intake is not None and not intake.over:
+            intake.over = True
+            for handle in list(intake.handles.values()):
+                self.taker.withdraw(handle)
+        super().withdraw_requests()
+
     def eof_received(self) -> bool:
         """A client that has ended its sending still hears the answer that is due."""
         self.ended = True
@@ -315,16 +330,17 @@
         else:
             self.reply(slot, self.response(outcomes[0], headers=applied))
 
-    def reply(self, slot: Slot, answer: bytes) -> None:
-        super().reply(slot, answer)
-        if self.transport is None or self.transport.is_closing() or self.deaf:
-            return
+    def reply(self, slot: Slot, answer: bytes) -> bool:
+        written = super().reply(slot, answer)
+        if not self.open() or self.deaf:
+            return written
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self.finishing:
             self.http.start_next_cycle()
             self.request = None
             self.loop.call_soon(self.serve)  # not deeper and deeper into a pipeline
         else:
             self.finish_up()
+        return written
 
     def finish_up(self) -> None:
         """No further request is read here; the connection ends with the answer that is out."""
--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import select
 import socket
 from collections import deque
@@ -18,6 +19,8 @@
 log = logging.getLogger(__name__)
 
 MOST_REQUEST = 69_632  # bytes of a request of one message: its body and 4 KiB
+READ_SIZE = 65_536
+MOST_LAST_READS = 4  # of a connection as the process ends: a request is no longer than these
 SWEEP_S = 0.25  # between two looks for such connections
 BACKLOG = 4096  # connections that may wait to be accepted (the machine may allow fewer). One that finds no
 # place there is not told so: its client tries again after 1, 2, 4, 8 and 16 s
@@ -43,6 +46,7 @@
     BAD = "it sent what cannot be read"
     LATE = "what was due of it did not come"
     CROWD = "there are too many of them"
+    LEAVING = "the process ends"
 
 
 class ClientConnection(asyncio.Protocol):
@@ -64,12 +68,21 @@
         self.full = False  # it does not take its answers
         self.deaf = False  # it sent what can't be read: nothing more is
         self.finishing = False  # it is closed as soon as no request is under way
+        self.serving = False  # in the middle of taking requests from its reader
+        self.input_closed = False  # the client has ended its sending, or nothing more is read of it
         self.placed: bool | None = None  # whether there was room for it as it was accepted
 
     def error(self, text: str, fault: Fault) -> bytes:
         """An error as the front's protocol has it, for what cannot be read."""
         raise NotImplementedError
 
+    def turned_away(self) -> bytes:
+        """The answer to a request that is refused: nothing was done for it, and it may come again."""
+        raise NotImplementedError
+
+    def serve_out(self) -> None:
+        """Answer the requests that were read whole and not taken yet, in this step."""
+
     def half_sent(self, size: int) -> bool:
         """So many bytes of a request have come without its end; False if all together hold too many."""
         self.server.begun += size - self.size
@@ -115,19 +128,55 @@
             else:
                 self.transport.resume_reading()
 
-    def reply(self, slot: Slot, answer: bytes) -> None:
+    def open(self) -> bool:
+        """Whether answers can be written."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def reachable(self, slot: Slot) -> bool:
+        """Whether an answer to that request would reach the system in this step: none stands before it."""
+        if not self.open() or not self.slots or self.slots[0] is not slot:
+            return False
+        assert self.transport is not None, "it is open"
+        return not self.transport.get_write_buffer_size()
+
+    def reply(self, slot: Slot, answer: bytes) -> bool:
+        """Answer a request, once those before it have their answers. False where the connection is gone, also
+        if that shows only as this answer is written."""
         slot.answer = answer
         slot.handles.clear()
-        if self.transport is None or self.transport.is_closing():
-            return
+        if not self.open():
+            return False
+        assert self.transport is not None, "it is open"
         self.heard_at = self.loop.time()
         while self.slots and self.slots[0].answer:
             self.transport.write(self.slots.popleft().answer)
+        written = self.open()
         if self.finishing:
             self.close_between()
+        return written
+
+    def withdraw_requests(self) -> None:
+        """Nobody may hear the answers to what was read: nothing is done for it, and whoever still listens is
+        told so."""
+        for slot in list(self.slots):
+            if slot.answer:
+                continue
+            handles, slot.handles = slot.handles, []
+            for handle in handles:
+                self.taker.withdraw(handle)
+            self.reply(slot, self.turned_away())
+
+    def eof_received(self) -> bool:
+        """The client has ended its sending. It may have gone, and have handed its requests in elsewhere: what
+        is not accepted yet is refused, which is right for one that still listens as well."""
+        self.input_closed = True
+        self.serve_out()
+        self.withdraw_requests()
+        return False  # the transport closes once its answers are written
 
     def refuse(self, text: str, fault: Fault) -> None:
         """Say what is wrong, after the answers that are due, and close."""
+        self.serve_out()
         slot = Slot()
         self.slots.append(slot)
         self.deaf = self.finishing = True
@@ -143,7 +192,7 @@
 
     def between(self) -> bool:
         """Whether it stands between two requests, as far as they were read."""
-        return self.deaf or not (self.slots or self.size or self.resting)
+        return self.deaf or not (self.slots or self.size or self.resting or self.serving)
 
     def finish(self) -> bool:
         """Close between requests: at once if none is under way, nor waits to be read."""
@@ -168,6 +217,36 @@
         if not self.slots and self.between() and self.transport is not None:
             self.transport.close()
 
+    def leave(self) -> None:
+        """The process ends: in this step, all that was read is answered and the connection is closed. What
+        the system holds unread is read first. A request of which only a part has come is refused."""
+        self.finishing = True
+        if self.open() and not (self.deaf or self.input_closed or self.full):
+            self.read_last()
+        self.serve_out()
+        self.withdraw_requests()
+        if self.size and not self.deaf and self.open():
+            self.refuse("the process ends", Fault.LEAVING)
+        if self.transport is not None:
+            self.transport.close()
+
+    def read_last(self) -> None:
+        """Read what has come so far; not for ever, and nothing more afterwards."""
+        assert self.transport is not None, "it is open"
+        self.transport.pause_reading()
+        fd = self.transport.get_extra_info("socket").fileno()
+        for _ in range(MOST_LAST_READS):
+            try:
+                data = os.read(fd, READ_SIZE)
+            except OSError:
+                break
+            if not data:
+                break
+            self.data_received(data)
+            if self.deaf or not self.open():
+                break
+        self.input_closed = True
+
     def portable(self) -> bytes | None:
         """What was read of a request that has not come whole, for another process to read on; None where the
         connection cannot be passed on as it stands."""
@@ -185,12 +264,10 @@
         standing = self.standing
         if self.transport is None:
             return
-        if self.transport.is_closing():
-            if now - self.heard_at >= admission.SILENT_S:
+        if self.transport.is_closing() or self.deaf:
+            unanswered = any(slot.handles for slot in self.slots)
+            if now - self.heard_at >= admission.SILENT_S and not unanswered:
                 self.transport.abort()  # it does not take its last answers
-        elif self.deaf:
-            if now - self.heard_at >= admission.SILENT_S:
-                self.transport.abort()  # it does not take its last answer
         elif standing.overdue(now):
             if self.unread():
                 return
@@ -230,6 +307,7 @@
         self.chosen_at = float("-inf")
         self.accepted: set[asyncio.Task] = set()
         self.coming: dict[ClientConnection, None] = {}  # accepted, and not set up yet
+        self.sweeping: asyncio.TimerHandle | None = None
         self.resting: dict[socket.socket, asyncio.TimerHandle] = {}  # listeners that cannot accept just now
         self.listeners: list[socket.socket] = []
         self.fronts: dict[str, Callable[[Clients], ClientConnection]] = {}  # by name, as their listeners
@@ -252,7 +330,7 @@
         self.fronts[name] = front
         self.loop.add_reader(listener, self.accept, listener, front)
         if not self.listeners:
-            self.loop.call_later(SWEEP_S, self.sweep)
+            self.sweeping = self.loop.call_later(SWEEP_S, self.sweep)
         self.listeners.append(listener)
         return listener.getsockname()
 
@@ -353,7 +431,7 @@
         now = self.loop.time()
         for client in list(self.clients):
             client.end_waiting(now)
-        self.loop.call_later(SWEEP_S, self.sweep)
+        self.sweeping = self.loop.call_later(SWEEP_S, self.sweep)
 
     def pause_listening(self) -> None:
         """Leave those who come in the queue, for this process or another to accept."""
@@ -383,3 +461,11 @@
     def finish(self) -> None:
         for client in list(self.clients):
             client.finish()
+
+    def leave(self) -> None:
+        """The process ends: each connection is closed in this step, with no request left unanswered that was
+        read. The core must refuse offers by now."""
+        if self.sweeping is not None:
+            self.sweeping.cancel()
+        for client in list(self.clients):
+            client.leave()
--- a/rushhitch/fronts/resp2.py
+++ b/rushhitch/fronts/resp2.py
@@ -9,6 +9,8 @@
 from rushhitch.fronts.listener import MOST_REQUEST, ClientConnection, Clients, Fault, Slot
 from rushhitch.taker import MOST_BODY, MOST_ID, BadRequest, Offer, Reply
 
+PONG = b"+PONG\r\n"
+REFUSED = Reply("refused")
 NOTHING = object()  # what the reader gives while no request is complete
 MOST_LINE = 16  # bytes of a line that tells a length
 MOST_KEY = 32  # digits of a key of order
@@ -125,10 +127,13 @@
         self.tail = bytearray()  # of the input: the request that has not come whole
 
     def error(self, text: str, fault: Fault) -> bytes:
-        return error_line(text)
+        return self.turned_away() if fault is Fault.LEAVING else error_line(text)
+
+    def turned_away(self) -> bytes:
+        return answer_line(REFUSED)
 
     def data_received(self, data: bytes) -> None:
-        if self.deaf:
+        if self.deaf or self.input_closed:
             return
         self.heard()
         self.reader.feed(data[: self.framing.follow(data)])
@@ -140,29 +145,58 @@
             self.serve()
 
     def portable(self) -> bytes | None:
-        if self.slots or self.resting or self.deaf or self.full or self.finishing:
+        if self.slots or self.resting or self.deaf or self.full or self.finishing or self.input_closed:
             return None
         return bytes(self.tail)
 
     def serve(self) -> None:
-        """Take the requests that have come; guards against one connection that holds up all others."""
+        """Take the requests that have come; guards against one connection that holds up all others. The
+        connection is not closed between two requests of which both were read."""
         self.resting = None
+        self.serving = True
+        try:
+            rest_s = self.serve_burst()
+        finally:
+            self.serving = False
+        if rest_s:
+            self.rest(rest_s)
+            return
+        if self.framing.wrong and not self.deaf:
+            self.refuse(self.framing.wrong, Fault.BAD)
+        self.read_on()
+        if self.finishing:
+            self.close_between()
+
+    def serve_burst(self) -> float:
+        """Take some requests; for how many seconds nothing more is served, 0 where no whole one is left."""
         for _ in range(BURST):
             if len(self.slots) >= BURST:
                 break
-            try:
-                words = self.reader.gets()
-            except hiredis.HiredisError as error:
-                self.framing.wrong, words = f"Protocol error: {error}", NOTHING
-            if words is NOTHING:
-                if self.framing.wrong:
-                    self.refuse(self.framing.wrong, Fault.BAD)
-                self.read_on()
-                return
+            if (words := self.next_request()) is NOTHING:
+                return 0.0
             if not self.request(words):
-                self.rest(TURNED_AWAY_S)
-                return
-        self.rest(REST_S)
+                return TURNED_AWAY_S
+        return REST_S
+
+    def next_request(self) -> list[bytes] | object:
+        """The words of the next whole request, or `NOTHING`."""
+        try:
+            return self.reader.gets()
+        except hiredis.HiredisError as error:
+            self.framing.wrong = f"Protocol error: {error}"
+            return NOTHING
+
+    def serve_out(self) -> None:
+        """What was read whole while the connection rested is refused: nobody may be there to hear more."""
+        if self.resting is None:
+            return
+        self.resting.cancel()
+        self.resting = None
+        while (words := self.next_request()) is not NOTHING:
+            slot = Slot()
+            self.slots.append(slot)
+            asked = words[0].upper() == b"PING"
+            self.reply(slot, PONG if asked else self.turned_away())
 
     def rest(self, seconds: float) -> None:
         self.resting = self.loop.call_later(seconds, self.serve)
@@ -175,10 +209,12 @@
         command = words[0].upper()
         try:
             if command == b"PING" and len(words) == 1:
-                self.reply(slot, b"+PONG\r\n")
+                self.reply(slot, PONG)
             elif command == b"OUT.ADD":
                 handle = self.taker.offer(
-                    parse_offer(words), lambda reply: self.reply(slot, answer_line(reply))
+                    parse_offer(words),
+                    lambda reply: self.reply(slot, answer_line(reply)),
+                    reachable=lambda: self.reachable(slot),
                 )
                 if not slot.answer:
                     slot.handles.append(handle)
--- a/rushhitch/journal/commit.py
+++ b/rushhitch/journal/commit.py
@@ -25,6 +25,16 @@
         self.syncing: asyncio.Task[None] | None = None
         self.pool = ThreadPoolExecutor(1, "journal-sync") if journal.sync is Sync.BATCH else None
 
+    def write(self) -> bool:
+        """Hand what was noted to the system in this step, with no sync. False where the disk does not take
+        all of it: the rest stays noted."""
+        try:
+            self.journal.flush(sync=False)
+        except OSError as error:
+            log.error("the journal cannot be written: %s", error)
+            return False
+        return True
+
     def commit(self, done: Callback, failed: Callback) -> None:
         """Flush. One of the two is called: at once, or with `batch` after the sync of the group."""
         try:
--- a/rushhitch/journal/format.py
+++ b/rushhitch/journal/format.py
@@ -1,4 +1,4 @@
-"""The journal's bytes on disk, version 1: segment headers, records, and what a damaged file still tells.
+"""The journal's bytes on disk, versions 1 and 2: headers, records, and what a damaged file still tells.
 
 A segment is a file of one header and records:
 
@@ -11,10 +11,15 @@
 record that is missing shows as a gap. Times are Unix time in seconds. A `MESSAGE` record replaces all that
 was told of its number before: it is written when a message is taken, and again, with its attempts, when
 compaction copies it forward; being one record, such a copy is there as a whole or not at all.
+
+Version 2 adds `OFFER` and `ACCEPT`, for journals that sync: an offer is a message, behind a mark of the run
+of the machine, whose client has no answer yet. Segments that are written without syncs have neither, and are
+of version 1: an earlier build reads them.
 """
 
 from __future__ import annotations
 
+import hashlib
 import json
 import struct
 import zlib
@@ -23,7 +28,8 @@
 from operator import itemgetter
 from typing import Any
 
-MAGIC, VERSION = b"RHJL", 1
+MAGIC, VERSION = b"RHJL", 2
+VERSION_WITHOUT_OFFERS = 1
 HEADER = struct.Struct("<4sHH16sQQ")
 CHECKSUM = struct.Struct("<I")
 HEADER_SIZE = HEADER.size + CHECKSUM.size
@@ -31,8 +37,10 @@
 RECORD_SIZE = RECORD.size
 MOST_RECORD = 1 << 24  # bytes: no record is longer, a length beyond is damage
 
-MESSAGE, TRY, GOT, OWE, END, COLD, WARM, HANDED, DENIED = range(1, 10)
-NAMES = ("", "message", "try", "got", "owe", "end", "cold", "warm", "handed", "denied")
+MESSAGE, TRY, GOT, OWE, END, COLD, WARM, HANDED, DENIED, OFFER, ACCEPT = range(1, 12)
+NAMES = ("", "message", "try", "got", "owe", "end", "cold", "warm", "handed", "denied", "offer", "accept")
+PLACED = frozenset({MESSAGE, OFFER, COLD})  # what compaction copies forward
+BOOT_SIZE = 8  # bytes that mark a run of the machine
 SYNCED = 1  # flag of a segment
 AGAIN, KEYED, TRIED, REMEMBERED, EVENT = 1, 2, 4, 8, 16  # flags of a message
 MESSAGE_HEAD = struct.Struct("<QddqHBBB")  # number, deadline, taken at, destination, attempts, flags, lengths
@@ -91,6 +99,11 @@
 # Payloads
 
 
+def boot_mark(boot: str) -> bytes:
+    """A short mark of a run of the machine; zeros where the system does not tell which it is."""
+    return hashlib.blake2b(boot.encode(), digest_size=BOOT_SIZE).digest() if boot else bytes(BOOT_SIZE)
+
+
 def message_payload(kept: Kept) -> bytes:
     cls, extra = kept.cls.encode(), b""
     flags = (AGAIN if kept.again else 0) | (REMEMBERED if kept.remember else 0)
@@ -191,7 +204,8 @@
 
 
 def header(identity: bytes, segment: int, base: int, synced: bool = False) -> bytes:
-    head = HEADER.pack(MAGIC, VERSION, SYNCED if synced else 0, identity, segment, base)
+    version = VERSION if synced else VERSION_WITHOUT_OFFERS
+    head = HEADER.pack(MAGIC, version, SYNCED if synced else 0, identity, segment, base)
     return head + CHECKSUM.pack(zlib.crc32(head))
 
 
--- a/rushhitch/journal/steady.py
+++ b/rushhitch/journal/steady.py
@@ -5,7 +5,6 @@
 import json
 import logging
 import math
-from pathlib import Path
 
 from rushhitch.journal.side import Side
 from rushhitch.journal.store import Journal
@@ -13,18 +12,9 @@
 log = logging.getLogger(__name__)
 
 NAME = "clock"
-BOOT_ID = Path("/proc/sys/kernel/random/boot_id")  # another one, and the monotonic clock began anew
 READING_S = 0.001  # two clocks are read one after the other: a difference so small is none
 
 
-def boot_id() -> str:
-    """Which run of the machine this is; empty where the system does not tell."""
-    try:
-        return BOOT_ID.read_text().strip()
-    except OSError:
-        return ""
-
-
 def ahead_of(journal: Journal, wall_s: float, monotonic_s: float, boot: str) -> float:
     """How far the steady clock is ahead of the monotonic one, which all processes of one boot share. It
     starts at the wall clock, and where an earlier process of this boot had it further on, there: the wall
--- a/rushhitch/journal/store.py
+++ b/rushhitch/journal/store.py
@@ -20,6 +20,7 @@
 
 from rushhitch.journal import format as form
 from rushhitch.journal import legacy
+from rushhitch.journal.boot import boot_id
 from rushhitch.journal.files import BLOCK, Files, on_disk
 from rushhitch.journal.format import Held, JournalError, Kept
 from rushhitch.journal.space import RECORD_ROOM, Space
@@ -116,7 +117,8 @@
     """What is live (`live`, by number; `cold`, by endpoint) and the files from which a later process learns
     the same. `disk_bytes` is what the folder may hold; `lock`, a descriptor by which another process has held
     the folder for us. A `JournalError` where the folder cannot be used: it
-    is held by another process, or of a newer version; an `OSError` where the disk fails."""
+    is held by another process, or of a newer version; an `OSError` where the disk fails. `boot` names the run
+    of the machine, where another than the present one is meant."""
 
     def __init__(
         self,
@@ -127,12 +129,15 @@
         clock: Callable[[], float] = time.monotonic,
         writable: bool = True,
         lock: int = -1,
+        boot: str | None = None,
     ) -> None:
         self.files = files or Files(folder)
         if lock >= 0:
             self.files.lock_fd = lock
         self.space, self.sync, self.clock = Space(disk_bytes), sync, clock
+        self.boot = form.boot_mark(boot_id() if boot is None else boot)
         self.live: dict[int, Kept] = {}
+        self.unaccepted: set[int] = set()  # of `live`: recorded, and their clients have no answer yet
         self.cold: dict[str, float] = {}  # endpoints in or after an outage, and the pace they took before
         self.cold_homes: dict[str, Segment] = {}
         self.live_bytes = 0
@@ -148,6 +153,8 @@
         self.failing = False  # the disk did not take what was noted
         self.reserve = 0
         self.reserve_due = -float("inf")
+        self.offered: dict[int, bytes] = {}  # while replaying: not accepted so far; by which boot
+        self.dropped: list[int] = []  # by replay, since they were never accepted
         self.aside: dict[str, int] = {}  # damaged files that were set aside, in whole blocks
         self.report = Report()
         if writable and not self.files.lock(LOCK):
@@ -192,6 +199,39 @@
             self.highest = kept.number
         self.note(kept.number, form.MESSAGE, form.message_payload(kept))
 
+    @property
+    def records_offers(self) -> bool:
+        """Whether an offer is recorded, and made safe, before it is accepted. Without syncs one record does
+        both: it is written in the step of the answer."""
+        return self.sync is not Sync.NONE
+
+    def offer(self, kept: Kept) -> None:
+        """The message came in; its client has no answer yet. After a kill it is dropped, after a power cut,
+        which may have taken the record of its acceptance, it counts as accepted."""
+        self.unaccepted.add(kept.number)
+        self.live[kept.number] = kept
+        self.live_bytes += self.cost(kept)
+        self.highest = max(self.highest, kept.number)
+        self.note(kept.number, form.OFFER, self.offer_payload(kept))
+
+    def accept(self, kept: Kept) -> None:
+        """The message is accepted: its client is told in the step in which this is written."""
+        if kept.number not in self.unaccepted:
+            self.take(kept)
+            return
+        self.unaccepted.discard(kept.number)
+        self.note(kept.number, form.ACCEPT, form.NUMBER.pack(kept.number))
+
+    def offer_payload(self, kept: Kept) -> bytes:
+        return self.boot + form.message_payload(kept)
+
+    def note_whole(self, kept: Kept) -> None:
+        """Note all that is known of a live message, in one record."""
+        if kept.number in self.unaccepted:
+            self.note(kept.number, form.OFFER, self.offer_payload(kept))
+        else:
+            self.note(kept.number, form.MESSAGE, form.message_payload(kept))
+
     def attempt(self, message: int, number: int, endpoint: str, at: float) -> None:
         kept = self.live[message]
         kept.out[number] = (endpoint, at)
@@ -234,16 +274,17 @@
         self.live_bytes += self.cost(kept)
 
     def end(self, message: int) -> None:
-        """Nothing more is owed. Of a message that is in no file yet nothing is written at all."""
+        """Nothing more is owed. What was noted of the message and is in no file will not be written; of one
+        that is in no file at all nothing is."""
         written = self.live[message].home is not None
         self.drop(message)
-        if written:
-            self.note(message, form.END, form.NUMBER.pack(message))
-        else:
-            rest = [entry for entry in self.pending if entry[0] != message]
+        rest = [entry for entry in self.pending if entry[0] != message]
+        if len(rest) < len(self.pending):
             self.forget_pending()
             for other, kind, endpoint, data in rest:
                 self.note(other, kind, data[form.RECORD_SIZE :], endpoint)
+        if written:
+            self.note(message, form.END, form.NUMBER.pack(message))
 
     def forget_pending(self) -> None:
         self.sequence -= len(self.pending)
@@ -251,6 +292,7 @@
 
     def drop(self, message: int) -> None:
         kept = self.live.pop(message)
+        self.unaccepted.discard(message)
         self.live_bytes -= self.cost(kept)
         if kept.home is not None:
             kept.home.live.pop(message, None)
@@ -303,11 +345,12 @@
 
     # Writing
 
-    def flush(self) -> None:
-        """Write what was noted; an `OSError` if the disk does not take all of it."""
+    def flush(self, sync: bool = True) -> None:
+        """Write what was noted; an `OSError` if the disk does not take all of it. Without `sync` it outlasts
+        the process, whatever the journal promises else."""
         if self.pending:
             self.write_pending()
-            if self.sync is Sync.ALWAYS:
+            if sync and self.sync is Sync.ALWAYS:
                 self.sync_now()
         self.tend()
 
@@ -353,7 +396,7 @@
 
     def note_written(self, segment: Segment, batch: list[tuple[int, int, str, bytes]]) -> None:
         for message, kind, endpoint, _ in batch:
-            if kind == form.MESSAGE or kind == form.COLD:
+            if kind in form.PLACED:
                 self.placed(segment, message, endpoint, kind)
         if batch is self.pending:
             self.pending, self.pending_size = [], 0
@@ -363,7 +406,7 @@
 
     def placed(self, segment: Segment, message: int, endpoint: str, kind: int) -> None:
         """A record stands in the segment now."""
-        if kind == form.MESSAGE:
+        if kind == form.MESSAGE or kind == form.OFFER:
             if (kept := self.live.get(message)) is not None:
                 if kept.home is not None:
                     kept.home.live.pop(message, None)
@@ -482,12 +525,12 @@
             if segment.fd >= 0:
                 fd, segment.fd = segment.fd, -1
                 self.files.close(fd)
-        known = {entry[0] for entry in self.pending if entry[1] == form.MESSAGE}
+        known = {entry[0] for entry in self.pending if entry[1] in (form.MESSAGE, form.OFFER)}
         for endpoint in self.cold:
             self.note_cold(endpoint)
         for kept in self.live.values():
             if kept.number not in known:
-                self.note(kept.number, form.MESSAGE, form.message_payload(kept))
+                self.note_whole(kept)
         self.failing = True
         log.error("the journal's disk failed to sync: %d live messages are written anew", len(self.live))
 
@@ -598,7 +641,7 @@
         size = 0
         for count, number in enumerate(oldest.live):
             kept = self.live[number]
-            self.note(number, form.MESSAGE, form.message_payload(kept))
+            self.note_whole(kept)
             size += len(kept.body) + len(kept.attributes)
             if count + 1 >= STEP_MESSAGES or size >= STEP_BYTES:
                 break
@@ -677,9 +720,19 @@
             self.report.carried, self.report.lost = len(self.live), bad
         else:
             self.replay_segments(names)
+            self.settle_offers()
         self.live_bytes = sum(map(self.cost, self.live.values()))
         self.highest = max(self.live, default=0) if self.report.carried else self.highest
 
+    def settle_offers(self) -> None:
+        """What was recorded and not accepted when the process was killed was never answered: it is dropped.
+        One of an earlier run of the machine may have been, since its acceptance was not synced."""
+        for number, boot in self.offered.items():
+            if boot == self.boot and any(boot):
+                self.drop(number)
+                self.dropped.append(number)
+        self.offered.clear()
+
     def replay_segments(self, names: dict[str, int]) -> None:
         expected: int | None = None
         classes: dict[bytes, str] = {}
@@ -738,8 +791,10 @@
         return expected
 
     def gap(self, segment: Segment, missing: int) -> None:
-        """Records are lost. An attempt may have been among them: what was live may have run."""
+        """Records are lost. An attempt may have been among them: what was live may have run. So may an
+        acceptance: all offers count as accepted."""
         segment.damaged = True
+        self.offered.clear()
         self.report.lost += max(missing, 1)
         for kept in self.live.values():
             if kept.notice is None:
@@ -750,9 +805,12 @@
 
     def apply(self, segment: Segment, kind: int, payload: bytes, classes: dict[bytes, str]) -> None:
         """Follow one record. Of a message that is not known only its end is left: its start was dropped."""
-        if kind == form.MESSAGE:
-            message = form.read_message(payload, classes)
+        if kind == form.MESSAGE or kind == form.OFFER:
+            start = form.BOOT_SIZE if kind == form.OFFER else 0
+            message = form.read_message(payload[start:], classes)
             number = message.number
+            if kind == form.OFFER:
+                self.offered[number] = payload[:start]
             if number in self.live:
                 self.live[number].home.live.pop(number, None)
             message.home = segment
@@ -773,7 +831,9 @@
         kept = self.live.get(form.NUMBER.unpack_from(payload)[0])
         if kept is None:
             return
-        if kind == form.TRY:
+        if kind == form.ACCEPT:
+            self.offered.pop(kept.number, None)
+        elif kind == form.TRY:
             _, number, at = form.TRY_HEAD.unpack_from(payload)
             kept.out[number] = (payload[form.TRY_HEAD.size :].decode(), at)
             kept.attempts = max(kept.attempts, number + 1)
@@ -793,6 +853,7 @@
             kept.notice, kept.body = (payload[form.OWE_HEAD.size :].decode(), wait_ms), b""
         elif kind == form.END:
             del self.live[kept.number]
+            self.offered.pop(kept.number, None)
             kept.home.live.pop(kept.number, None)
 
     # Recovery: each step may be the last of this life, and the next begins from the start
@@ -827,6 +888,13 @@
             self.files.unlink(segment.name)
             self.used -= on_disk(segment.size)
             self.segments.remove(segment)
+        for number in self.dropped:  # or a later run of the machine would take them for accepted
+            self.note(number, form.END, form.NUMBER.pack(number))
+        if self.dropped:
+            try:
+                self.flush()
+            except OSError as error:
+                log.error("the journal cannot be written: %s", error)
         self.tend()
 
     def carry_over(self, names: dict[str, int]) -> None:
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -31,6 +31,7 @@
 from rushhitch.control.words import TAKES_ID, BadCommand, Refused, answer, parse
 from rushhitch.core.figures import Figures
 from rushhitch.core.handing import Handing
+from rushhitch.core.lifecycle import Phase
 from rushhitch.core.listing import with_singles
 from rushhitch.core.messages import Loan
 from rushhitch.core.node import Node
@@ -39,8 +40,9 @@
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
 from rushhitch.journal import Journal
+from rushhitch.journal.boot import boot_id
 from rushhitch.journal.side import Side, unsealed
-from rushhitch.journal.steady import ahead_of, boot_id
+from rushhitch.journal.steady import ahead_of
 from rushhitch.partners.codec import Codec
 from rushhitch.succession.handover import Handover
 from rushhitch.succession.states import Do
@@ -287,6 +289,8 @@
         log.info("%s ends, %d messages stay in the journal", self.configuration.name, held)
 
     def close(self) -> None:
+        self.node.lifecycle.enter(Phase.CLOSED)
+        self.clients.leave()
         if self.reloading is not None:
             self.reloading.cancel()
         if self.sizing is not None:
--- a/rushhitch/taker.py
+++ b/rushhitch/taker.py
@@ -40,7 +40,13 @@
 
 
 TAKEN, DELIVERED, FAILED = Reply("taken"), Reply("delivered"), Reply("failed")
-Answer = Callable[[Reply], None]
+Answer = Callable[[Reply], object]  # gives False where the client's connection turned out to be gone
+Reachable = Callable[[], bool]  # whether an answer given now reaches the system in the same step
+
+
+def always_reachable() -> bool:
+    """For clients that learn of an acceptance by other means than one answer on one connection."""
+    return True
 
 
 class Verdict(Enum):
@@ -73,8 +79,15 @@
 class Taker(Protocol):
     """Who decides on what clients hand in: the core."""
 
-    def offer(self, offer: Offer, answer: Answer, ended: Answer | None = None) -> int:
-        """Take the offer; `answer` is called once, soon, with "taken", "refused" or "failed". After "taken",
+    def offer(
+        self,
+        offer: Offer,
+        answer: Answer,
+        ended: Answer | None = None,
+        reachable: Reachable = always_reachable,
+    ) -> int:
+        """Take the offer; `answer` is called once, soon, with "taken", "refused" or "failed". An offer whose
+        client is not `reachable` as it would be taken is refused, and nothing is done for it. After "taken",
         `ended` is called once, with the message's end, if this process sees it. An offer with the id of a
         message that is held is that message; one that is remembered past its end is answered with that end.
         Gives a handle, 0 where there is nothing to withdraw; raises `BadRequest`, and then neither is
--- a/tests/test_journal_sync.py
+++ b/tests/test_journal_sync.py
@@ -7,7 +7,7 @@
 import pytest
 from lives import Life, load, settle, virtual
 
-from lab.disk import CountingFiles, Crash, CrashingFiles, PowerCutFiles
+from lab.disk import HOWS, CountingFiles, Crash, CrashingFiles, PowerCutFiles
 from rushhitch.journal import Journal, Kept, Sync
 from rushhitch.journal.commit import Committer
 from rushhitch.journal.files import Files
@@ -48,8 +48,9 @@
             except Crash:
                 pass
             outside.killed()
+            outside.power_cut = True
             files.cut(seed=at)
-            life = Life(outside, CountingFiles(folder, DISK), 2, DISK, Sync.ALWAYS)
+            life = Life(outside, CountingFiles(folder, DISK), 2, DISK, Sync.ALWAYS, boot="the next one")
             settle(outside)
             outside.check()
             assert not life.journal.live
@@ -62,6 +63,51 @@
     assert at > 60
 
 
+@pytest.mark.parametrize("how", HOWS)
+def test_a_kill_at_each_operation_sends_on_one_message_at_most_whose_client_was_not_told(tmp_path, how):
+    # The group of a sync is recorded before the first answer: what was not accepted is dropped.
+    at, reached = 1, True
+    while reached:
+        folder = tmp_path / str(at)
+        folder.mkdir()
+        files = CrashingFiles(folder, at, how, DISK)
+
+        def work(outside, files=files, folder=folder):
+            try:
+                life = Life(outside, files, 1, DISK, Sync.ALWAYS)
+                load(life, 0, 30)
+                settle(outside)
+            except Crash:
+                pass
+            outside.killed()
+            files.die()
+            life = Life(outside, CountingFiles(folder, DISK), 2, DISK, Sync.ALWAYS)
+            settle(outside)
+            outside.check()
+            assert not life.journal.live
+            life.files.die()
+
+        virtual(work)
+        reached = files.reached
+        at += 1
+    assert at > 60
+
+
+def test_an_offer_that_was_not_accepted_is_dropped_after_a_kill_and_kept_after_a_power_cut(tmp_path):
+    journal = Journal(tmp_path, 1e6, Sync.BATCH, boot="one")
+    for number in (1, 2):
+        journal.offer(kept(number))
+    journal.accept(journal.live[1])
+    journal.flush()
+    journal.close()
+    assert sorted(Journal(tmp_path, 1e6, Sync.BATCH, writable=False, boot="two").live) == [1, 2]
+    assert sorted(Journal(tmp_path, 1e6, Sync.BATCH, writable=False, boot="").live) == [1, 2]
+    Journal(tmp_path, 1e6, Sync.BATCH, boot="one").close()
+    again = Journal(tmp_path, 1e6, Sync.BATCH, boot="two")
+    assert sorted(again.live) == [1] and again.highest == 2, "what was dropped came back"
+    again.close()
+
+
 def test_a_power_cut_in_a_batch_keeps_each_group_that_was_told(tmp_path_factory):
     # The journal alone: what a group's `done` has told is there, whatever else vanished, compaction included.
     cuts = 0
