--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -55,6 +55,7 @@
 load = { note = 1.0 }
 """
 
+
 def fleet_of(size: int, seed: int, scheme: str, loss: float = 0.0) -> World:
     tuning = Tuning(fleet=size)
     world = World(size, seed, tuning, lambda own, chance, now: SCHEMES[scheme](own, tuning, chance, now))
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -353,9 +353,7 @@
 STORM = ("kill", "stop", "loss", "pair", "one", "half", "leave", "lag", "enobufs", "jump")
 
 
-def storm(
-    seed: int, size: int = 8, seconds: float = 40.0, kind: type[World] = World, **told: Any
-) -> World:
+def storm(seed: int, size: int = 8, seconds: float = 40.0, kind: type[World] = World, **told: Any) -> World:
     """A run with all faults from the seed, then a quiet time."""
     world = kind(size, seed, buildings=2, **told)
     chance = random.Random(f"storm {seed}")
--- a/rushhitch/membership/detector.py
+++ b/rushhitch/membership/detector.py
@@ -594,4 +594,3 @@
     def taken(self) -> list[Output]:
         out, self.out = self.out, []
         return out
-
--- a/rushhitch/membership/server.py
+++ b/rushhitch/membership/server.py
@@ -346,5 +346,3 @@
         return answer
     finally:
         writer.close()
-
-
--- a/rushhitch/membership/wire.py
+++ b/rushhitch/membership/wire.py
@@ -244,9 +244,7 @@
             self.there.popitem(last=False)
         return process
 
-    def open(
-        self, data: bytes, source: tuple[str, int]
-    ) -> tuple[Message | Carried | None, list[bytes]]:
+    def open(self, data: bytes, source: tuple[str, int]) -> tuple[Message | Carried | None, list[bytes]]:
         """The message that came, if one did, and what to send back to the source. Nothing is raised: what
         makes no sense is counted in `bad`."""
         if not HEAD.size + MAC <= len(data) <= MOST_DATAGRAM:
--- a/rushhitch/partners/platform.py
+++ b/rushhitch/partners/platform.py
@@ -33,9 +33,7 @@
             if attempts[0].idempotency:
                 headers.append((b"Idempotency-Key", attempts[0].idempotency))
             return Written("/receive", headers, attempts[0].body)
-        lines = (
-            b"%s %s %d\r\n%s\r\n" % (a.id, a.idempotency or b"-", len(a.body), a.body) for a in attempts
-        )
+        lines = (b"%s %s %d\r\n%s\r\n" % (a.id, a.idempotency or b"-", len(a.body), a.body) for a in attempts)
         return Written("/receive-many", headers, b"".join(lines))
 
     def wait_ms(self, response: h11.Response, now: float) -> float:
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -139,7 +139,8 @@
 
 @pytest.mark.parametrize(
     # An upgrade starts processes in mid-run: where they wait for the cores, clients get no answer in 0.4 s.
-    "what", [pytest.param(what, marks=pytest.mark.alone if "upgrades" in what else ()) for what in FAULTS]
+    "what",
+    [pytest.param(what, marks=pytest.mark.alone if "upgrades" in what else ()) for what in FAULTS],
 )
 def test_with_these_faults_the_rules_are_kept(what, tmp_path):
     scenario = parse(SHORT + FAULTS[what], what)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -137,6 +137,7 @@
 
 # Detection
 
+
 def test_one_that_answers_nobody_is_suspected_and_gone_with_witnesses():
     detector = member()
     net = Net(detector, dead={"b"})
@@ -333,6 +334,7 @@
 
 # Storms: all faults from one seed
 
+
 @pytest.mark.parametrize("seed", range(24))
 def test_through_a_storm_of_all_faults_the_properties_hold(seed):
     world = storm(seed)
@@ -496,6 +498,7 @@
 
 # The checker, with planted violations
 
+
 def lives(*names, end=float("inf"), killed=False):
     return [Life(name, ord(name), 0.0, end, killed=killed) for name in names]
 
@@ -555,6 +558,7 @@
 
 # The small model
 
+
 def crashed():
     small = met()
     small.take("crash", 0)
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -76,9 +76,7 @@
 def test_one_that_hears_nobody_counts_itself_alone_and_all_are_one_again_after(tmp_path, both):
     @with_fleet(tmp_path)
     async def _(fleet):
-        fleet.watch.strike(
-            lambda a, b: WayFault(cut=True) if b == "d2" or (both and a == "d2") else FINE
-        )
+        fleet.watch.strike(lambda a, b: WayFault(cut=True) if b == "d2" or (both and a == "d2") else FINE)
         await fleet.until(lambda: fleet.reports["d2"]["alone"] and all_hold(fleet, "d2", "gone"), 15.0)
         told = fleet.reports["d2"]
         assert told["least"] == 1 and told["most"] == 5 and told["counts"]["burials"] == 0
@@ -290,7 +288,6 @@
         assert not [h for h in fleet.history.held if h.state == 2]
 
 
-
 # Each fault lasts for the time in which a kill is found, T2 of four: 9.2 s.
 FOUR = UNDER_LOAD.format(seconds=12.0, dispatchers=4)
 FAULTS = {
--- a/tests/test_membership_wire.py
+++ b/tests/test_membership_wire.py
@@ -260,7 +260,7 @@
 @pytest.mark.parametrize(
     "change, error",
     [
-        (("7101\"\nseeds", "\"\nseeds"), 'own.toml:2: listen must be of the form "host:port"'),
+        (('7101"\nseeds', '"\nseeds'), 'own.toml:2: listen must be of the form "host:port"'),
         ((SEEDS, "[]"), "own.toml:3: seeds must be a list of addresses"),
         ((SEEDS, '["here"]'), "own.toml:3: seeds must be a list of addresses"),
         (("SECRET", "nowhere"), "own.toml:4: secret_file: .*name a file"),
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -187,6 +187,7 @@
 
 # Storms: all faults from one seed
 
+
 @pytest.mark.parametrize("seed", range(16))
 def test_through_a_storm_no_more_is_usable_than_there_is(seed):
     world = storm(seed, kind=SharingWorld)
@@ -226,6 +227,7 @@
 
 # Use of the budget
 
+
 def shares(world, begun, until):
     """Of what could have been used in that time, the part that was."""
     seen = [moment for moment in world.seen if begun <= moment.at < until]
@@ -282,6 +284,7 @@
 
 # The small model
 
+
 def test_every_interleaving_of_three_members_keeps_to_the_budget():
     found = explore(met(), 6)
     print(f"{found.states} states, {found.steps} steps to depth {found.depth}, {dict(found.told)}")
