Logs carry fields: what a start found, what an end leaves, refused effects, closes

Need: the operators' logs could not tell what became of a request. Client connections are closed in one place, which answers their requests first and counts where it had to.

--- a/rushhitch/config/own.py
+++ b/rushhitch/config/own.py
@@ -13,6 +13,7 @@
 VARIABLE = "RUSHHITCH_TOML"  # names another file
 LEAST_SECRET = 16  # bytes: a shorter one can be guessed
 LOOPS = ("asyncio", "uvloop")
+LOGS = ("info", "debug")
 MODES = ("binary", "structured", "batch")  # as `rushhitch.partners.cloudevents` has them
 VERDICTS = ("delivered", "ran", "not-run")  # as `rushhitch.acknowledgements.Verdict` has them
 SYNCS = ("none", "batch", "always")  # as `rushhitch.journal.Sync` has them
@@ -103,6 +104,7 @@
 
     sync: str = "none"  # [journal] sync
     loop: str = "asyncio"  # [process] loop
+    log: str = "info"  # [process] log
     planners: Mapping[str, tuple[str, int]] = field(default_factory=dict)  # [planning] planners, by name
     secret: bytes = b""  # the content of [planning] secret_file
     cold_from: float = 0.2  # [planning]: of a partner that returns, as in the dispatchers' settings
@@ -137,7 +139,7 @@
         raise BadOwn(f"{name}: {error}") from None
     known = {
         "journal": {"sync"},
-        "process": {"loop"},
+        "process": {"loop", "log"},
         "cloudevents": {
             "listen",
             "types",
@@ -180,6 +182,7 @@
                 raise BadOwn(f"{name}:{line_of(text, section, key)}: {what}")
     sync = choice_of(told, "journal", "sync", SYNCS, text, name)
     loop = choice_of(told, "process", "loop", LOOPS, text, name)
+    log = choice_of(told, "process", "log", LOGS, text, name)
     events = events_of(told.get("cloudevents", {}), text, name)
     member = membership_of(told.get("membership", {}), text, name)
     planning = planning_of(told.get("planning", {}), text, name)
@@ -189,7 +192,7 @@
         if member is None or planning["planners"]:
             remedy = "add [membership]" if member is None else "planners share limits: remove one of the two"
             raise BadOwn(f"{name}:{line_of(text, 'sharing')}: [sharing] needs members, no planners: {remedy}")
-    return Own(sync, loop, **planning, events=events, membership=member, sharing=sharing)
+    return Own(sync, loop, log, **planning, events=events, membership=member, sharing=sharing)
 
 
 def sharing_of(told: dict[str, Any], text: str, name: str) -> Sharing:
--- a/rushhitch/core/lifecycle.py
+++ b/rushhitch/core/lifecycle.py
@@ -78,22 +78,32 @@
     number: int
     stage: Stage
 
+    @property
+    def id(self) -> bytes:
+        """As its client calls it."""
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """An effect that was refused: whose, and at which stage of the request and phase of the process."""
 
     request: int
+    id: bytes
     effect: Effect
     stage: Stage
     phase: Phase
 
 
 class Lifecycle:
-    """Decides on the effects of all requests of a process. `report` hears of each refusal."""
-
-    def __init__(self, report: Callable[[Refusal], None] = lambda refusal: None) -> None:
-        self.report = report
+    """Decides on the effects of all requests of a process. `report` hears of each refusal, `trace` of each
+    step of a request, with the effect and the stage that follows."""
+
+    def __init__(
+        self,
+        report: Callable[[Refusal], None] = lambda refusal: None,
+        trace: Callable[[Request, Effect], None] | None = None,
+    ) -> None:
+        self.report, self.trace = report, trace
         self.phase = Phase.SERVING
         self.refused: Counter[tuple[Effect, Stage, Phase]] = Counter()
 
@@ -113,7 +123,7 @@
         if self.phase <= ENDS_WITH.get(effect, Phase.CLOSED) and (request.stage, effect) in TRANSITIONS:
             return True
         self.refused[effect, request.stage, self.phase] += 1
-        self.report(Refusal(request.number, effect, request.stage, self.phase))
+        self.report(Refusal(request.number, request.id, effect, request.stage, self.phase))
         return False
 
     def advance(self, request: Request, effect: Effect) -> bool:
@@ -121,6 +131,8 @@
         if not self.permits(request, effect):
             return False
         request.stage = TRANSITIONS[request.stage, effect]
+        if self.trace is not None:
+            self.trace(request, effect)
         return True
 
     def counts(self) -> dict[str, int]:
--- a/rushhitch/core/messages.py
+++ b/rushhitch/core/messages.py
@@ -43,6 +43,11 @@
     verdict: Verdict | None = None  # one that came before its call had ended
     watchdog: asyncio.TimerHandle | None = None
 
+    @property
+    def id(self) -> bytes:
+        """As its client calls it."""
+        return self.kept.id
+
     @property
     def over(self) -> bool:
         """Whether nothing more is owed for it."""
--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import time
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from datetime import UTC, datetime
@@ -80,7 +81,7 @@
         self.settings, self.dispatcher, self.journal, self.notify = settings, dispatcher, journal, notify
         self.keep_s = keep_s
         self.loop = asyncio.get_running_loop()
-        self.lifecycle = Lifecycle(log_refusal)
+        self.lifecycle = Lifecycle(log_refusal, log_step if log.isEnabledFor(logging.DEBUG) else None)
         self.endpoints = Endpoints(
             settings,
             self.attempt_ended,
@@ -299,7 +300,9 @@
             if loan.message in self.journal.live and loan.attempt in self.journal.live[loan.message].out:
                 lent.setdefault(loan.message, []).append(loan)
                 self.lent[loan.message, loan.attempt] = loan
+        found: Counter[str] = Counter()
         for kept in self.journal.messages():  # in the order of taking, which some classes keep
+            found[state_in_journal(kept)] += 1
             if kept.notice is not None:
                 result, wait_ms = kept.notice
                 if kept.remember and result != "bounced":
@@ -322,6 +325,9 @@
                 self.hand_over(message)
             else:
                 self.arrive(message, untried=untried)
+        found["never accepted"] += len(self.journal.dropped)
+        if found.total():
+            log.info("the journal was read", extra={name.replace(" ", "_"): n for name, n in found.items()})
         self.save()
         if self.events:
             self.turn()
@@ -785,10 +791,20 @@
         self.save()
 
 
+def state_in_journal(kept: Kept) -> str:
+    """What a start finds of a message, in a word or two."""
+    if kept.notice is not None:
+        return "remembered" if kept.notice[0] in ("delivered", "failed") else "to be notified"
+    if kept.deadline <= time.time():
+        return "out of time"
+    return "tried" if kept.attempts else "untried"
+
+
 def log_refusal(refusal: Refusal) -> None:
     """One line for an effect that came too late: what was refused, for which request, and why."""
     fields = {
         "request": refusal.request,
+        "id": refusal.id.decode("latin-1"),
         "effect": refusal.effect.name.lower(),
         "stage": refusal.stage.name.lower(),
         "phase": refusal.phase.name.lower(),
@@ -796,6 +812,17 @@
     log.info("an effect was refused", extra=fields)
 
 
+def log_step(message: Message, effect: Effect) -> None:
+    """One line for each step of each request: only where that is asked for."""
+    fields = {
+        "request": message.number,
+        "id": message.id.decode("latin-1"),
+        "effect": effect.name.lower(),
+        "stage": message.stage.name.lower(),
+    }
+    log.debug("a request goes on", extra=fields)
+
+
 def older(event: api.Arrived, by_ms: float) -> api.Arrived:
     """The same a while later. Guards against windows that seem longer by the time from the look at an age to
     the turn in which the module hears of it: at a start with many messages, that may be long."""
--- a/rushhitch/core/operators.py
+++ b/rushhitch/core/operators.py
@@ -52,4 +52,5 @@
         node = self.node
         held = 0 if node.relinquished else len(node.by_id)
         known = len(node.listing.entries), node.dispatcher.avoided()
-        return node.figures.report(node.endpoints.written, held, *known)
+        told = node.figures.report(node.endpoints.written, held, *known)
+        return told | {"refused_effects": node.lifecycle.counts()}
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -122,6 +122,7 @@
         self.waits: dict[object, float] = {}
         self.banned: set[str] = set()  # by operators, listed or not
         self.frozen = False  # nothing new starts, another process goes on
+        self.held_back = 0  # calls whose last byte was not written, since something spoke against it by then
         self.written = 0  # messages whose call's last byte has gone out
         self.tasks: set[asyncio.Task[None]] = set()
         self.keep_s = settings.conn_idle_ms * (1.0 - IDLE_MARGIN) / 1000.0
@@ -358,6 +359,7 @@
             log.warning("not sent to %s: %s", call.endpoint, error)
             broken = Outcome.MOOT
         except NotSent as error:
+            self.held_back += 1
             log.info("a call was held back", extra={"endpoint": call.endpoint, "reason": str(error)})
             broken, call.recalled = Outcome.MOOT, True  # most of it is written: its connection is of no use
         except h11.ProtocolError as error:
--- a/rushhitch/fronts/cloudevents.py
+++ b/rushhitch/fronts/cloudevents.py
@@ -21,7 +21,7 @@
 from rushhitch.cloudevents.events import BadEvent, Event
 from rushhitch.cloudevents.http import MOST_BATCH, decode
 from rushhitch.cloudevents.mapping import Rules, acknowledgement, placed
-from rushhitch.fronts.listener import ClientConnection, Clients, Fault, Slot
+from rushhitch.fronts.listener import ClientConnection, Clients, Close, Fault, Slot
 from rushhitch.taker import BadRequest, Offer, Pending, Reply, Taker
 
 MOST_AHEAD = 65_536  # bytes of further requests that are read while one is under way
@@ -346,8 +346,7 @@
         """No further request is read here; the connection ends with the answer that is out."""
         self.deaf = True
         self.read_on()
-        if self.transport is not None:
-            self.transport.close()
+        self.end(Close.LEAVING if self.finishing else Close.ENDED)
 
     def turn_away(self, outcome: Outcome) -> None:
         """An answer to what was not read whole: the rest may be anything, so the connection ends."""
--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -7,7 +7,7 @@
 import os
 import select
 import socket
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Coroutine
 from enum import Enum
 from typing import Any
@@ -49,6 +49,17 @@
     LEAVING = "the process ends"
 
 
+class Close(Enum):
+    """Why a client's connection is closed by this side."""
+
+    REFUSED = "refused"  # it sent what cannot be read, or too slowly, or there was no room for it
+    IDLE = "idle"  # it stood between requests for long
+    MADE_ROOM = "made_room"  # another came, and it stood between requests
+    ENDED = "ended"  # its client has ended its sending, or asked for the end
+    STUCK = "stuck"  # it does not take its answers
+    LEAVING = "leaving"  # the process ends
+
+
 class ClientConnection(asyncio.Protocol):
     """One client connection; answers go out in the order of the requests. A front says how requests are read
     (`data_received`, which tells `half_sent` what it holds) and how an error looks (`error`)."""
@@ -69,6 +80,7 @@
         self.deaf = False  # it sent what can't be read: nothing more is
         self.finishing = False  # it is closed as soon as no request is under way
         self.serving = False  # in the middle of taking requests from its reader
+        self.why = Close.LEAVING  # it finishes
         self.input_closed = False  # the client has ended its sending, or nothing more is read of it
         self.placed: bool | None = None  # whether there was room for it as it was accepted
 
@@ -172,7 +184,8 @@
         self.input_closed = True
         self.serve_out()
         self.withdraw_requests()
-        return False  # the transport closes once its answers are written
+        self.end(Close.ENDED)  # once its answers are written
+        return False
 
     def refuse(self, text: str, fault: Fault) -> None:
         """Say what is wrong, after the answers that are due, and close."""
@@ -180,6 +193,7 @@
         slot = Slot()
         self.slots.append(slot)
         self.deaf = self.finishing = True
+        self.why = Close.REFUSED
         self.read_on()
         self.reply(slot, self.error(text, fault))
 
@@ -194,9 +208,10 @@
         """Whether it stands between two requests, as far as they were read."""
         return self.deaf or not (self.slots or self.size or self.resting or self.serving)
 
-    def finish(self) -> bool:
+    def finish(self, why: Close = Close.LEAVING) -> bool:
         """Close between requests: at once if none is under way, nor waits to be read."""
-        self.finishing = True
+        if not self.finishing:
+            self.finishing, self.why = True, why
         if self.transport is not None and not self.transport.is_closing() and not self.unread():
             self.close_between()
         return self.transport is None or self.transport.is_closing()
@@ -207,14 +222,31 @@
             if not self.unread():
                 self.refuse("too many clients are connected", Fault.CROWD)
         else:
-            self.finish()
+            self.finish(Close.MADE_ROOM)
             if self.transport is not None and self.transport.is_closing():
                 if self.transport.get_write_buffer_size():
-                    self.transport.abort()  # it does not take its answers: it would keep its descriptor
+                    self.end(Close.STUCK, abort=True)  # it would keep its descriptor
         return self.transport is None or self.transport.is_closing()
 
     def close_between(self) -> None:
-        if not self.slots and self.between() and self.transport is not None:
+        if not self.slots and self.between():
+            self.end(self.why)
+
+    def end(self, why: Close, abort: bool = False) -> None:
+        """Close the connection; the only place that does. With `abort`, what was not taken of its answers is
+        given up. A request that was read has its answer before."""
+        if self.transport is None:
+            return
+        if any(not slot.answer for slot in self.slots):
+            self.server.closed["with_requests"] += 1
+            log.error("a connection is closed under its requests", extra={"reason": why.value})
+            self.withdraw_requests()
+        if not self.transport.is_closing():
+            self.server.closed[why.value] += 1
+            log.debug("a connection is closed", extra={"reason": why.value})
+        if abort:
+            self.transport.abort()
+        else:
             self.transport.close()
 
     def leave(self) -> None:
@@ -227,8 +259,7 @@
         self.withdraw_requests()
         if self.size and not self.deaf and self.open():
             self.refuse("the process ends", Fault.LEAVING)
-        if self.transport is not None:
-            self.transport.close()
+        self.end(Close.LEAVING)
 
     def read_last(self) -> None:
         """Read what has come so far; not for ever, and nothing more afterwards."""
@@ -265,16 +296,16 @@
         if self.transport is None:
             return
         if self.transport.is_closing() or self.deaf:
-            unanswered = any(slot.handles for slot in self.slots)
+            unanswered = any(not slot.answer for slot in self.slots)
             if now - self.heard_at >= admission.SILENT_S and not unanswered:
-                self.transport.abort()  # it does not take its last answers
+                self.end(Close.STUCK, abort=True)  # it does not take its last answers
         elif standing.overdue(now):
             if self.unread():
                 return
             text = "the rest of the request did not come" if self.size else "no request came that makes sense"
             self.refuse(text, Fault.LATE)
         elif standing.idle(now) and not self.unread():
-            self.finish()
+            self.finish(Close.IDLE)
 
     def pause_writing(self) -> None:
         """Guards against a client that asks on and on but takes no answers."""
@@ -302,6 +333,7 @@
         self.taker, self.most, self.most_begun = taker, most, most_begun
         self.begun = 0  # bytes of requests that are half sent: they take memory
         self.loop = asyncio.get_running_loop()
+        self.closed: Counter[str] = Counter()  # connections, by why this side closed them
         self.clients: dict[ClientConnection, None] = {}  # in the order in which they were last heard
         self.leaving: deque[ClientConnection] = deque()  # who gives way next, as of `chosen_at`
         self.chosen_at = float("-inf")
--- a/rushhitch/process.py
+++ b/rushhitch/process.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from logfmter import Logfmter
+
 from rushhitch.config.own import BadOwn, read_own
 from rushhitch.config.platform import BadConfiguration
 
@@ -22,6 +24,8 @@
         self.seen: dict[tuple[str, int], tuple[int, int]] = {}  # by place: the second, and the lines in it
 
     def filter(self, record: logging.LogRecord) -> bool:
+        if record.levelno < logging.INFO:  # asked for, line by line
+            return True
         place, second = (record.pathname, record.lineno), int(record.created)
         since, count = self.seen.get(place, (second, 0))
         if second > since:
@@ -33,6 +37,15 @@
         return count < self.most
 
 
+class FieldsFormatter(logging.Formatter):
+    """A line for people, and behind it the fields that were logged with it, as `name=value` (logfmt)."""
+
+    def formatMessage(self, record: logging.LogRecord) -> str:  # noqa: N802
+        line = super().formatMessage(record)
+        fields = Logfmter.get_extra(record)
+        return f"{line} {Logfmter.format_params(fields)}" if fields else line
+
+
 def loop_factory(loop: str) -> Callable[[], asyncio.AbstractEventLoop] | None:
     """What makes the event loop that is set; None for that of the standard library."""
     if loop != "uvloop":
@@ -46,11 +59,12 @@
     """Log to standard error and run a process's work; 2 where its configuration makes no sense."""
     handler = logging.StreamHandler(sys.stderr)
     handler.addFilter(Throttle())
-    logging.basicConfig(
-        handlers=[handler], level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s"
-    )
+    handler.setFormatter(FieldsFormatter("%(asctime)s %(levelname)s %(message)s"))
+    logging.basicConfig(handlers=[handler], level=logging.INFO)
     try:
-        with asyncio.Runner(loop_factory=loop_factory(read_own(os.environ).loop)) as runner:
+        own = read_own(os.environ)
+        logging.getLogger("rushhitch").setLevel(own.log.upper())
+        with asyncio.Runner(loop_factory=loop_factory(own.loop)) as runner:
             runner.run(work())
     except (BadConfiguration, BadOwn) as error:
         print(f"rushhitch: {error}", file=sys.stderr)
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -285,8 +285,22 @@
             pass
         await self.handing.freeze()  # what is not written whole has never run, and the journal says so
         await self.handing.end_calls()
+        self.clients.leave()
         held = len(self.journal.live)
-        log.info("%s ends, %d messages stay in the journal", self.configuration.name, held)
+        log.info(
+            "%s ends, %d messages stay in the journal",
+            self.configuration.name,
+            held,
+            extra=self.account(),
+        )
+
+    def account(self) -> dict[str, Any]:
+        """What the last line of the log tells besides: what stays, what was refused, and why connections were
+        closed."""
+        notices = sum(kept.notice is not None for kept in self.journal.live.values())
+        told = {"open": len(self.node.by_id), "notices": notices, "held_back": self.node.endpoints.held_back}
+        told |= {f"refused.{what}": count for what, count in self.node.lifecycle.counts().items()}
+        return told | {f"closed.{why}": count for why, count in sorted(self.clients.closed.items())}
 
     def close(self) -> None:
         self.node.lifecycle.enter(Phase.CLOSED)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -341,3 +341,32 @@
     environ = {name: value for name, value in os.environ.items() if not name.startswith("ROUTER_")}
     done = start_with(environ)
     assert (done.returncode, done.stderr) == (2, "rushhitch: ROUTER_CONFIG is not set\n")
+
+
+def test_the_log_tells_what_a_start_found_and_what_an_end_leaves_as_fields(tmp_path):
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        assert await client.add(b"m1", "pay", 24000) == b"+OK\r\n"
+        await program.partner.next()
+        program.process.send_signal(signal.SIGTERM)
+        last = await program.log_line("stay in the journal")
+        assert " 1 messages stay in the journal open=0 notices=1 held_back=0 " in last
+        assert "closed.leaving=" in last
+        await program.process.wait()
+        await program.start()
+        (found,) = [line for line in program.log if "the journal was read" in line]
+        assert found.rstrip().endswith("to_be_notified=1 never_accepted=0")
+
+
+def test_with_debug_each_step_of_a_request_is_a_line_with_its_id(tmp_path, monkeypatch):
+    (tmp_path / "own.toml").write_text('[process]\nlog = "debug"\n')
+    monkeypatch.setenv("RUSHHITCH_TOML", str(tmp_path / "own.toml"))
+
+    @with_program(tmp_path)
+    async def _(program):
+        client = await program.client()
+        assert await client.add(b"m1") == b"+OK\r\n"
+        (await program.partner.next()).answer(200)
+        assert "id=m1 effect=accept stage=accepted" in await program.log_line("effect=accept")
+        assert "id=m1 effect=deliver stage=ended" in await program.log_line("effect=deliver")
