A soak of real processes under faults that overlap, judged from outside

New rule: what is sent on after its client was refused, or saw its connection end, is lost, but for one message a kill.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 
+from lab import soak
 from lab.demo import DEMO
 from lab.history import History
 from lab.rules import check
@@ -35,7 +36,7 @@
     return 0 if played.sound else 1
 
 
-def main() -> int:
+def main(words: list[str] | None = None) -> int:
     """0 where the rules are kept, 1 where not, 2 where the command makes no sense."""
     parser = argparse.ArgumentParser(prog="python -m lab", description=__doc__)
     commands = parser.add_subparsers(dest="command", required=True)
@@ -51,9 +52,20 @@
     rules.add_argument(
         "scenario", type=Path, nargs="?", help="the scenario it came from; the demo if left out"
     )
+    soaks = commands.add_parser("soak", help="many dispatchers under faults that overlap; the rules decide")
+    soaks.add_argument("--seed", type=int, default=1)
+    soaks.add_argument("--seeds", type=int, default=1, help="so many, from --seed on, one after another")
+    soaks.add_argument("--processes", type=int, default=20)
+    soaks.add_argument("--seconds", type=float, default=20.0)
+    soaks.add_argument("--sync", choices=("none", "batch", "always"), default="none")
+    soaks.add_argument("--with", dest="extra", action="append", default=[], choices=soak.EXTRA)
+    soaks.add_argument("--only", action="append", default=[], choices=(*soak.ALWAYS, *soak.EXTRA))
+    soaks.add_argument("--json", type=Path, help="append a JSON object for each seed to that file")
+    soaks.add_argument("--folder", type=Path, help="keep states and logs there")
+    soaks.add_argument("--history", type=Path, help="write what was seen there, a JSON object a line")
     top = commands.add_parser("top", help="how many messages a second the lab itself can play")
     top.add_argument("--seconds", type=float, default=5.0)
-    told = parser.parse_args()
+    told = parser.parse_args(words)
     try:
         if told.command == "demo":
             scenario = seeded(parse(DEMO, "demo"), told.seed, told.seconds)
@@ -63,6 +75,8 @@
             return run(scenario, f"python -m lab run {told.scenario} --seed {scenario.seed}", told.history)
         if told.command == "check":
             return recheck(told.history, load_file(told.scenario) if told.scenario else parse(DEMO, "demo"))
+        if told.command == "soak":
+            return run_soaks(told)
         from lab.top import measure  # only this command needs it
 
         print(f"the lab itself: {measure(told.seconds):.0f} messages a second, from hand-in to delivery")
@@ -72,6 +86,19 @@
         return 2
 
 
+def run_soaks(told: argparse.Namespace) -> int:
+    """Seed after seed; 1 where one of them broke a rule or crashed."""
+    broken = 0
+    for seed in range(told.seed, told.seed + told.seeds):
+        asked = soak.Soak(seed, told.processes, told.seconds, tuple(told.extra), tuple(told.only), told.sync)
+        played = soak.play(asked, told.folder, progress)
+        if told.history is not None:
+            played.history.write(told.history)
+        soak.tell(asked, soak.account(asked, played), told.json)
+        broken += not played.sound
+    return 1 if broken else 0
+
+
 def recheck(path: Path, scenario: Scenario) -> int:
     import json
 
--- a/lab/history.py
+++ b/lab/history.py
@@ -15,7 +15,8 @@
 | `told` | dispatcher, endpoint, state: the directory has written it |
 | `outage`, `return` | lane: from the first to the second all calls fail; it returns cold |
 | `over` | the run has ended |
-| `ready`, `stopping`, `ended` | dispatcher: it serves; it was sent SIGTERM or SIGKILL; its process is gone |
+| `ready`, `stopping`, `ended` | dispatcher: it serves; it was sent SIGTERM, or (`kill`) SIGKILL; it is gone |
+| `paused`, `resumed` | dispatcher: it was sent SIGSTOP, SIGCONT |
 """
 
 from __future__ import annotations
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -15,6 +15,7 @@
 
 ROOT = Path(__file__).parent.parent
 READY_S = 30.0  # a start that takes longer has failed
+BEHIND_S = 2.0  # for so long the answers are waited for behind which it is killed
 TERM_S, AGAIN_S = (
     3.7,
     0.6,
@@ -33,6 +34,10 @@
         self.port = self.event_port = self.control = 0
         self.ready = asyncio.Event()
         self.room = folder / "room"  # holds the bytes that its disk has, where the scenario fills it
+        self.clock = folder / "clock"  # holds the seconds by which its wall clock is stepped, if any
+        self.behind = folder / "kill_behind"  # holds which of its answers it is killed behind, if any
+        self.dies_behind = False  # a fault of the scenario does that
+        self.steps_clock = False  # a fault of the scenario does
         self.log = (folder / "log").open("ab")
         self.turn = asyncio.Lock()  # held by whoever stops it and starts it again
         self.words: tuple[str, ...] = ()  # of its command line
@@ -64,6 +69,10 @@
         }
         env |= {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(self.state), "RUSHHITCH_TOML": str(self.toml)}
         env["RUSHHITCH_LAB_ROOM"] = str(self.room)
+        if self.dies_behind:
+            env["RUSHHITCH_LAB_KILL_BEHIND"] = str(self.behind)
+        if self.steps_clock:
+            env["RUSHHITCH_LAB_CLOCK"] = str(self.clock)
         if self.profile is not None:
             env["RUSHHITCH_LAB_PROFILE"] = str(self.profile)
         self.ready.clear()
@@ -130,13 +139,28 @@
                 self.ready.set()
         code = await process.wait()
         if process is self.process:
-            self.history.add("ended", dispatcher=self.name)
+            self.history.add("ended", dispatcher=self.name, kill=code == -signal.SIGKILL)
             self.serves(self.name, None)
             if self.wanted and code not in (0,):
                 self.crashed = True
             self.port = 0
             self.ready.set()
 
+    async def kill_behind(self, nth: int) -> None:
+        """SIGKILL in the step of its n-th answer from now on that accepts a message, or after a while."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        self.wanted = False
+        self.behind.write_text(str(nth))
+        try:
+            async with asyncio.timeout(BEHIND_S):
+                await self.process.wait()
+        except TimeoutError:
+            await self.kill()
+        self.behind.unlink(missing_ok=True)
+        if self.reading is not None:
+            await self.reading
+
     async def kill(self) -> None:
         """SIGKILL."""
         if self.process is not None and self.process.returncode is None:
--- /dev/null
+++ b/lab/rude_clients.py
@@ -0,0 +1,146 @@
+"""Clients that behave badly on RESP2 connections of their own: they end their sending behind a request, reset
+the connection, send in pieces, send many requests at once, or give up early. The history tells what they saw.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import socket
+import struct
+import zlib
+from collections.abc import Awaitable, Callable
+
+from lab.clients import ANSWER_S, Clients
+from lab.history import History
+
+PIECES_S = (0.05, 1.2)  # between the halves of a request
+GIVE_UP_S = (0.0, 0.03)  # from a request to the end of the connection
+BURST = (2, 12)  # requests at once
+LINGER_NONE = struct.pack("ii", 1, 0)  # a close resets
+
+
+class RudeClients:
+    """Plays one bad client at a time at a dispatcher that serves; everything random comes from the seed."""
+
+    def __init__(
+        self, clients: Clients, history: History, seed: int, kinds: list[tuple[int, str, float]]
+    ) -> None:
+        """`kinds` are the messages that it hands in: destination, class and deadline in ms."""
+        self.clients, self.history, self.kinds = clients, history, kinds
+        self.chance = random.Random(f"rude {seed}")
+        self.numbers = itertools.count(1)
+        self.ways: list[Callable[[str, int], Awaitable[None]]] = [
+            self.half_close,
+            self.reset,
+            self.pieces,
+            self.burst,
+            self.give_up,
+        ]
+
+    async def run(self, per_s: float, seconds: float) -> None:
+        """So many of them a second, by chance, side by side."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < end:
+                await asyncio.sleep(self.chance.expovariate(per_s))
+                if not self.clients.ports:
+                    continue
+                dispatcher = self.chance.choice(sorted(self.clients.ports))
+                way = self.chance.choice(self.ways)
+                group.create_task(self.play(way, dispatcher, self.clients.ports[dispatcher]))
+
+    async def play(self, way: Callable[[str, int], Awaitable[None]], dispatcher: str, port: int) -> None:
+        try:
+            await way(dispatcher, port)
+        except OSError:
+            pass  # it is down, or went down: the requests have their events
+
+    def request(self, dispatcher: str) -> tuple[str, bytes]:
+        """The name and the bytes of one; its offer is in the history."""
+        name = f"r{next(self.numbers)}"
+        dest, cls, left_ms = self.chance.choice(self.kinds)
+        body = b"rude " + name.encode()
+        self.history.add(
+            "offer",
+            id=name,
+            origin=name,
+            first=name,
+            cls=cls,
+            dest=dest,
+            key=0,
+            left_ms=left_ms,
+            crc=zlib.crc32(body),
+            dispatcher=dispatcher,
+        )
+        words = (b"OUT.ADD", b"0", name.encode(), f"c={cls},d={left_ms:.0f},dest={dest}".encode(), body)
+        return name, b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
+
+    async def connect(self, port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), ANSWER_S)
+
+    async def answer(self, name: str, reader: asyncio.StreamReader, patience_s: float = ANSWER_S) -> None:
+        """Wait for the answer to one request and note what came."""
+        try:
+            line = await asyncio.wait_for(reader.readline(), patience_s)
+            kind = kind_of(line)
+        except TimeoutError:
+            kind = "none"
+        except OSError:
+            kind = "reset"
+        self.history.add("answer", id=name, answer=kind, wait_ms=0)
+
+    async def half_close(self, dispatcher: str, port: int) -> None:
+        reader, writer = await self.connect(port)
+        name, data = self.request(dispatcher)
+        writer.write(data)
+        await asyncio.sleep(self.chance.choice((0.0, 0.002, 0.01)))
+        writer.write_eof()
+        await self.answer(name, reader)
+        writer.close()
+
+    async def reset(self, dispatcher: str, port: int) -> None:
+        _, writer = await self.connect(port)
+        name, data = self.request(dispatcher)
+        writer.write(data)
+        await asyncio.sleep(self.chance.uniform(*GIVE_UP_S))
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        writer.transport.abort()
+        self.history.add("answer", id=name, answer="none", wait_ms=0)
+
+    async def pieces(self, dispatcher: str, port: int) -> None:
+        reader, writer = await self.connect(port)
+        name, data = self.request(dispatcher)
+        cut = self.chance.randrange(1, len(data))
+        writer.write(data[:cut])
+        await asyncio.sleep(self.chance.uniform(*PIECES_S))
+        writer.write(data[cut:])
+        await self.answer(name, reader)
+        writer.close()
+
+    async def burst(self, dispatcher: str, port: int) -> None:
+        reader, writer = await self.connect(port)
+        made = [self.request(dispatcher) for _ in range(self.chance.randint(*BURST))]
+        writer.write(b"".join(data for _, data in made))
+        for name, _ in made:
+            await self.answer(name, reader, 2.0)
+        writer.close()
+
+    async def give_up(self, dispatcher: str, port: int) -> None:
+        reader, writer = await self.connect(port)
+        name, data = self.request(dispatcher)
+        writer.write(data)
+        await self.answer(name, reader, self.chance.uniform(*GIVE_UP_S))
+        writer.close()
+
+
+def kind_of(line: bytes) -> str:
+    """An answer as the history has it."""
+    if not line:
+        return "closed"
+    if line.startswith(b"+"):
+        return "ok"
+    return "busy" if line.startswith(b"-BUSY") else "error"
--- a/lab/run.py
+++ b/lab/run.py
@@ -152,6 +152,8 @@
             own = await self.own_ways(name) if hit or self.scenario.members else toml
             dispatcher = Dispatcher(name, self.folder / name, config, self.history, own)
             dispatcher.serves = self.serves
+            dispatcher.dies_behind = any(fault.what == "kill_behind" for fault in self.scenario.faults)
+            dispatcher.steps_clock = any(fault.what == "clock" for fault in self.scenario.faults)
             dispatcher.known = self.directory.known
             dispatcher.words = ("forward",) if self.planners else ()
             self.dispatchers[name] = dispatcher
@@ -377,7 +379,7 @@
     async def fault(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at)
         begin, end = getattr(self, "begin_" + fault.what), getattr(self, "end_" + fault.what, None)
-        if fault.what in ("kill", "restart"):
+        if fault.what in ("kill", "kill_behind", "restart"):
             await begin(fault)
             return
         begun = begin(fault)
@@ -478,10 +480,12 @@
     def begin_pause(self, fault: Fault) -> None:
         if self.scenario.members:
             self.members.stands_still(fault.on, fault.seconds)
+        self.history.add("paused", dispatcher=fault.on)
         self.dispatchers[fault.on].send(signal.SIGSTOP)
 
     def end_pause(self, fault: Fault) -> None:
         self.dispatchers[fault.on].send(signal.SIGCONT)
+        self.history.add("resumed", dispatcher=fault.on)
 
     async def begin_planner_kill(self, fault: Fault) -> None:
         await self.planners[fault.on].kill()
@@ -532,6 +536,23 @@
         for way in self.struck(fault):
             way.strike(WayFaults())
 
+    async def begin_kill_behind(self, fault: Fault) -> None:
+        """SIGKILL in the step of an answer that accepts a message: of the `factor`-th from now on."""
+        dispatcher = self.dispatchers[fault.on]
+        async with dispatcher.turn:
+            await dispatcher.kill_behind(int(fault.factor))
+            await asyncio.sleep(fault.seconds if fault.seconds < math.inf else START_S)
+            await dispatcher.start()
+
+    def begin_clock(self, fault: Fault) -> None:
+        self.dispatchers[fault.on].clock.write_text(str(fault.step_s))
+
+    def end_clock(self, fault: Fault) -> None:
+        self.dispatchers[fault.on].clock.unlink(missing_ok=True)
+
+    def begin_disk_error(self, fault: Fault) -> None:
+        self.dispatchers[fault.on].room.write_text("short" if fault.factor < 1.0 else "eio")
+
     def begin_disk(self, fault: Fault) -> None:
         dispatcher = self.dispatchers[fault.on]
         held = sum(-(-path.stat().st_size // 512) * 512 for path in dispatcher.state.iterdir())
@@ -540,6 +561,8 @@
     def end_disk(self, fault: Fault) -> None:
         self.dispatchers[fault.on].room.unlink(missing_ok=True)
 
+    end_disk_error = end_disk
+
     def begin_burst(self, fault: Fault) -> None:
         self.factors[fault.on] = fault.factor
 
--- a/tests/test_lab_rules.py
+++ b/tests/test_lab_rules.py
@@ -408,3 +408,39 @@
         made.taken(at - 10, f"m{number}")
         made.reply(at + 50, made.call(at, f"m{number}"))
     assert made.broken() == ["drain e1"]
+
+
+@pytest.mark.parametrize("answer", ["busy", "error"])
+def test_what_goes_on_after_its_client_was_turned_away_is_seen(answer):
+    story = Story()
+    story.taken(1000, answer=answer)
+    story.reply(2050, story.call(2000))
+    assert "lost m1" in story.broken()
+
+
+def test_one_message_may_go_on_unheard_after_a_kill_and_two_may_not():
+    def after_kill(*names):
+        story = Story()
+        for name in names:
+            story.taken(1000, name, answer="closed")
+        story.at(1020, "ended", dispatcher="d0", kill=True)
+        story.at(1700, "ready", dispatcher="d0")
+        for name in names:
+            story.reply(1850, story.call(1800, name))
+        return story.broken()
+
+    assert not after_kill("m1")
+    assert after_kill("m1", "m2", "m3") == ["lost m2", "lost m3"]
+
+
+def test_a_dispatcher_that_stood_still_has_its_time_afterwards():
+    def told_late(paused):
+        story = Story()
+        story.taken(1000, left=1000.0)
+        if paused:
+            story.at(1500, "paused", dispatcher="d0")
+            story.at(4000, "resumed", dispatcher="d0")
+        story.notice(4800)
+        return story.broken()
+
+    assert not told_late(True) and told_late(False) == ["lost m1"]
--- /dev/null
+++ b/tests/test_lab_soak.py
@@ -0,0 +1,48 @@
+"""The soak: a seed is one scenario, a short one is sound, what breaks is told with how to play it again."""
+
+import pytest
+
+from lab import soak
+from lab.__main__ import main
+from lab.scenario import WHATS
+from lab.soak import ALWAYS, EXTRA, Soak, scenario_of
+
+
+def test_a_seed_is_one_scenario_and_another_seed_another():
+    assert scenario_of(Soak(3)) == scenario_of(Soak(3)) != scenario_of(Soak(4))
+
+
+def test_every_kind_of_fault_comes_and_many_overlap():
+    faults = [fault for seed in range(30) for fault in scenario_of(Soak(seed, extra=EXTRA)).faults]
+    assert {fault.what for fault in faults} == set(ALWAYS) - {"stall"} | set(EXTRA) <= set(WHATS)
+    scenario = scenario_of(Soak(1))
+    overlaps = sum(
+        one.at < other.at < one.at + min(one.seconds, 2.0)
+        for one in scenario.faults
+        for other in scenario.faults
+    )
+    assert overlaps > len(scenario.faults)
+
+
+def test_a_short_soak_keeps_the_rules(tmp_path, capsys):
+    told = ["soak", "--seed", "5", "--processes", "6", "--seconds", "5", "--json", str(tmp_path / "told")]
+    assert main(told) == 0, capsys.readouterr().out
+    assert '"sound": true' in (tmp_path / "told").read_text()
+
+
+def test_a_soak_that_breaks_a_rule_says_how_to_play_it_again(monkeypatch, capsys):
+    class Played:
+        sound = False
+
+    told = {"answers": {}, "calls": 0, "faults": {}, "sound": False, "crashed": ["d1"], "broken": ["lost m1"]}
+    monkeypatch.setattr(soak, "play", lambda asked, folder, progress: Played())
+    monkeypatch.setattr(soak, "account", lambda asked, played: told | {"again": asked.command})
+    assert main(["soak", "--seed", "7", "--processes", "3", "--only", "kill_behind"]) == 1
+    shown = capsys.readouterr().out
+    again = "python -m lab soak --seed 7 --processes 3 --seconds 20 --sync none --only kill_behind"
+    assert "CRASHED: d1" in shown and "BROKEN: lost m1" in shown and again in shown
+
+
+def test_a_fault_that_the_soak_does_not_know_is_refused():
+    with pytest.raises(SystemExit):
+        main(["soak", "--only", "earthquake"])
