--- a/rushhitch/core/messages.py
+++ b/rushhitch/core/messages.py
@@ -23,6 +23,17 @@
     first_due: float
 
 
+@dataclass(frozen=True, slots=True)
+class PendingNotice:
+    """An end of which the platform is told once the journal has it, or the message's time is up."""
+
+    number: int
+    id: bytes
+    result: str
+    wait_ms: float
+    due: float  # when that time is up, by the clock of the event loop
+
+
 @dataclass(slots=True, eq=False)
 class Message:
     """A message of this process; `answer` is there until its client has been answered."""
--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -25,7 +25,7 @@
 from rushhitch.core.lifecycle import Effect, Lifecycle, Phase, Refusal, Stage
 from rushhitch.core.limits import Limits
 from rushhitch.core.listing import Listing
-from rushhitch.core.messages import Loan, Message
+from rushhitch.core.messages import Loan, Message, PendingNotice
 from rushhitch.endpoints import PLATFORM, Endpoints, Result
 from rushhitch.journal import Journal, Kept
 from rushhitch.journal.commit import Committer
@@ -106,7 +106,7 @@
         self.by_id: dict[bytes, Message] = {}
         self.numbers = journal.highest
         self.committer = Committer(journal)
-        self.notices: list[tuple[int, bytes, str, float]] = []  # to be told once the journal tells of them
+        self.notices: list[PendingNotice] = []  # to be told once the journal tells of them
         self.ended = Ended(min(MOST, int(ENDED_SHARE * journal.space.live_most / RECORD_ROOM)))
         self.sinks: Sinks | None = None  # where clients may have ends told by messages of our own
         self.past = Past()
@@ -249,8 +249,12 @@
             self.ahead_s = time.time() - self.loop.time()
         return self.loop.time() + self.ahead_s
 
+    def due_of(self, kept: Kept) -> float:
+        """When the message's time is up, by the clock of the event loop."""
+        return self.loop.time() + max(kept.deadline - time.time(), 0.0)
+
     def enter(self, kept: Kept, answer: Answer | None = None) -> Message:
-        due = self.loop.time() + max(kept.deadline - time.time(), 0.0)
+        due = self.due_of(kept)
         message = Message(kept.number, kept, kept.attempts, due, answer)
         if self.sinks is not None and self.sinks.named(kept.attributes):
             message.sink = kept.attributes
@@ -313,7 +317,7 @@
             if kept.cls not in self.classes and self.history.terms(kept.number, kept.cls) is None:
                 log.error("message %r is of class %r, which is gone: it is failed", kept.id, kept.cls)
                 self.journal.owe(kept.number, "dead", 0.0)
-                self.notices.append((kept.number, kept.id, "dead", 0.0))
+                self.notices.append(PendingNotice(kept.number, kept.id, "dead", 0.0, self.due_of(kept)))
                 self.figures.ended(kept.cls, "failed")
                 continue
             message = self.enter(kept)
@@ -692,7 +696,7 @@
         self.tell_sink(message, end)
         if message.number in self.journal.live:
             self.journal.owe(message.number, result, wait_ms)
-        self.notices.append((message.number, message.kept.id, result, wait_ms))
+        self.notices.append(PendingNotice(message.number, message.id, result, wait_ms, message.due))
         self.close(message, Effect.EXPIRE, end=end)
 
     def close(self, message: Message, effect: Effect, end: Reply = DELIVERED) -> None:
@@ -772,7 +776,7 @@
 
         def done() -> None:
             for notice in notices:
-                self.notify(*notice)
+                self.tell(notice)
             for ended, end in ends:
                 ended(end)
             then()
@@ -781,8 +785,10 @@
             self.notices[:0] = notices
             self.ends[:0] = ends
             otherwise()
+            self.tell_expired()
             if self.retrying is None:
-                self.retrying = self.loop.call_later(RETRY_S, self.retry)
+                dues = [notice.due - self.loop.time() for notice in self.notices]
+                self.retrying = self.loop.call_later(min([RETRY_S, *dues]), self.retry)
 
         self.committer.commit(done, failed)
 
@@ -790,6 +796,18 @@
         self.retrying = None
         self.save()
 
+    def tell(self, notice: PendingNotice) -> None:
+        self.notify(notice.number, notice.id, notice.result, notice.wait_ms)
+
+    def tell_expired(self) -> None:
+        """The disk does not take an end: it is told all the same once the message's time is up. A process
+        that starts from the journal as it is gives such a message its end as well, and does not send it."""
+        now = self.loop.time()
+        expired = [notice for notice in self.notices if notice.due <= now]
+        self.notices = [notice for notice in self.notices if notice.due > now]
+        for notice in expired:
+            self.tell(notice)
+
 
 def state_in_journal(kept: Kept) -> str:
     """What a start finds of a message, in a word or two."""
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -282,3 +282,22 @@
         bench.node.save()
         assert not Journal(tmp_path / "state", 3e6, writable=False).live
         assert bench.partner.requests.empty()
+
+
+def test_an_end_that_the_disk_does_not_take_is_told_as_the_time_is_up_and_not_before(tmp_path, monkeypatch):
+    # Before, a kill could make the next process send what was told as ended; afterwards it sends nothing.
+    @with_bench(tmp_path)
+    async def _(bench):
+        bench.node.offer(Offer(b"m1", "pay", 7, 700.0, b"hello"), bench.answers.put_nowait)
+        assert await bench.answers.get() == TAKEN
+        request = await bench.partner.next()
+        started = asyncio.get_running_loop().time()
+
+        def fails(self, fd, data):
+            raise OSError(errno.EIO, "the disk fails")
+
+        monkeypatch.setattr(Files, "write", fails)
+        request.answer(500)  # it may have run: that is its end
+        assert await bench.ends.get() == (1, b"m1", "dead", 0.0)
+        took = asyncio.get_running_loop().time() - started
+        assert 0.6 <= took <= 0.7 + 0.25, took
