Probes and calls to a moved address are looked at again once their connection is up

Both ask the same look as calls do; a handshake's question does not, since it goes to endpoints that are not open yet (tried: six tests of the handshake failed).

--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -443,7 +443,7 @@
         """The last look, in the step of a call's last byte. Raises `NotSent` where it must not go: the bytes
         before it hold all messages of the call, so one that is over holds back the others as well, which
         have not run and go on in another call."""
-        if call.recalled or self.barred(call.endpoint):
+        if call.recalled or self.barred(call.endpoint, connection):
             raise NotSent("its endpoint takes nothing now")
         if time.monotonic() + connection.look_s > start_by(attempts):  # some loops' clocks stand still
             raise NotSent("its time to begin is over")
@@ -452,13 +452,13 @@
                 raise NotSent(f"message {attempt.message} is over")
 
     def stopped(self, connection: Connection, call: Call, attempts: list[Attempt]) -> bool:
-        return not attempts or self.barred(call.endpoint) or self.too_late(connection, attempts)
+        return not attempts or self.barred(call.endpoint, connection) or self.too_late(connection, attempts)
 
-    def barred(self, endpoint: str) -> bool:
+    def barred(self, endpoint: str, connection: Connection) -> bool:
         """Guards against a send that was decided before its connection came up: by then a wait may have been
-        told, or the endpoint may be draining."""
+        told, or the endpoint may be draining, or at another address."""
         place = self.places[endpoint]
-        if endpoint in self.banned:
+        if endpoint in self.banned or connection.address != place.address:
             return True
         return place.state is not State.READY or self.waits.get(place.lane, 0.0) > self.loop.time()
 
@@ -522,9 +522,11 @@
         try:
             async with asyncio.timeout(self.settings.connect_timeout_ms / 1000.0):
                 connection = await self.connected(call)
-                outcome = Outcome.RESET
-                response = await self.talk(connection, "GET", "/alive", [])
-            outcome, _ = head_outcome(response)
+                outcome = Outcome.MOOT
+                if not self.barred(endpoint, connection):
+                    outcome = Outcome.RESET
+                    response = await self.talk(connection, "GET", "/alive", [])
+                    outcome, _ = head_outcome(response)
         except TimeoutError:
             outcome = Outcome.TIMEOUT if connection is not None else outcome
         except (OSError, h11.ProtocolError) as error:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -519,8 +519,8 @@
         assert caller.partner.requests.empty()
 
 
-@pytest.mark.parametrize("bar", ["wait", "drain"])
-def test_a_call_whose_connection_comes_up_after_a_told_wait_or_a_drain_is_not_sent(bar):
+@pytest.mark.parametrize("bar", ["wait", "drain", "move"])
+def test_a_call_whose_connection_comes_up_after_a_told_wait_a_drain_or_a_move_is_not_sent(bar):
     # Guards against a send that was decided while the way was open but leaves when it is barred.
     @with_caller()
     async def _(caller):
@@ -540,13 +540,46 @@
         if bar == "wait":
             first.answer(429, X_Come_Back_Ms="20000")
             assert await caller.result() == (Outcome.FULL, False, 20_000.0)
-        else:
+        elif bar == "drain":
             caller.list(caller.partner.address, State.DRAINING)
+        else:
+            connecting = asyncio.create_task(connect("e1"))  # to the old address
+            held = await connecting
+            caller.list(("127.0.0.1", 9))
+
+            async def connected(call):
+                return held
+
+            caller.endpoints.connected = connected
+            caller.endpoints.send("e1", [Attempt(3, 0, b"m3", b"", asyncio.get_running_loop().time() + 30.0)])
+            assert await caller.result() == (Outcome.MOOT, False, 0.0)
+            assert caller.partner.requests.empty()
+            return
         go_on.set()
         assert await caller.result() == (Outcome.MOOT, False, 0.0)
         assert caller.partner.requests.empty()
 
 
+def test_a_probe_whose_connection_comes_up_after_a_drain_is_not_written():
+    @with_caller()
+    async def _(caller):
+        results, reached, go_on = asyncio.Queue(), asyncio.Event(), asyncio.Event()
+        connect = caller.endpoints.connect
+
+        async def slow_connect(endpoint):
+            reached.set()
+            await go_on.wait()
+            return await connect(endpoint)
+
+        caller.endpoints.connect = slow_connect
+        caller.endpoints.probe("e1", lambda *result: results.put_nowait(result))
+        await reached.wait()
+        caller.list(caller.partner.address, State.DRAINING)
+        go_on.set()
+        assert (await results.get())[1] is Outcome.MOOT
+        assert caller.partner.requests.empty() and not caller.endpoints.connections
+
+
 def test_whatever_goes_wrong_in_a_call_its_message_gets_an_end(caplog):
     @with_caller()
     async def _(caller):
