Deadlines and ages go by one steady clock over a restart, however the wall clock steps

Cause: deadlines were Unix times by time.time(), and the kept steady clock followed a wall clock that was set forward. Now the first process of a boot fixes the steady clock, later ones go on with it, and a monotonic clock that reads less than when it was written begins anew; codecs that tell a wall time have it from the time that is left.

--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -187,14 +187,14 @@
             if ended is not None:
                 held.enders.append(ended)
             return 0
-        if offer.remember and (end := self.ended.get(offer.id, time.time())) is not None:
+        if offer.remember and (end := self.ended.get(offer.id, self.steady())) is not None:
             answer(end)
             return 0
         size = len(offer.body) + len(offer.attributes) + len(offer.tenant) + len(offer.idempotency)
         if self.sinks is not None and self.sinks.named(offer.attributes):
             size += RECORD_ROOM + self.sinks.room  # of the message that tells its end
         room = self.fresh_bytes + size
-        for gone in self.ended.forget(time.time()):
+        for gone in self.ended.forget(self.steady()):
             self.journal.end(gone)
         full = offer.remember and self.ended.full(len(self.by_id))
         if full or len(self.by_id) >= self.settings.max_held or not self.journal.has_room(room):
@@ -207,11 +207,11 @@
             offer.id,
             offer.cls,
             offer.destination,
-            time.time() + offer.left_ms / 1000.0,
+            self.steady() + offer.left_ms / 1000.0,
             offer.body,
             offer.key,
             offer.again,
-            taken_at=time.time(),
+            taken_at=self.steady(),
             remember=offer.remember,
             attributes=offer.attributes,
             tenant=offer.tenant,
@@ -243,15 +243,19 @@
         return self.tenants.get(name, len(self.settings.tenants))
 
     def steady(self) -> float:
-        """Unix time in seconds that is not set back while this process runs, nor over a restart where
-        `ahead_s` was kept."""
+        """Unix time in seconds by a clock that is not stepped while this process runs, nor over a restart
+        where `ahead_s` was kept: all that outlasts the process is told by it."""
         if self.ahead_s is None:
             self.ahead_s = time.time() - self.loop.time()
         return self.loop.time() + self.ahead_s
 
     def due_of(self, kept: Kept) -> float:
         """When the message's time is up, by the clock of the event loop."""
-        return self.loop.time() + max(kept.deadline - time.time(), 0.0)
+        return self.loop.time() + max(kept.deadline - self.steady(), 0.0)
+
+    def wall(self, due: float) -> float:
+        """A time of the event loop's clock as others read it now: Unix time in seconds."""
+        return time.time() + due - self.loop.time()
 
     def enter(self, kept: Kept, answer: Answer | None = None) -> Message:
         due = self.due_of(kept)
@@ -306,7 +310,7 @@
                 self.lent[loan.message, loan.attempt] = loan
         found: Counter[str] = Counter()
         for kept in self.journal.messages():  # in the order of taking, which some classes keep
-            found[state_in_journal(kept)] += 1
+            found[state_in_journal(kept, self.steady())] += 1
             if kept.notice is not None:
                 result, wait_ms = kept.notice
                 if kept.remember and result != "bounced":
@@ -339,7 +343,7 @@
     def arrive(self, message: Message, loans: Sequence[Loan] = (), untried: bool = False) -> None:
         """Give the module a message that has had attempts; those that are out are in an earlier process. An
         age that no clock tells counts as one past every window."""
-        kept, now = message.kept, time.time()
+        kept, now = message.kept, self.steady()
         terms, out = self.history.terms(kept.number, kept.cls), {loan.attempt for loan in loans}
         runs = [where for attempt, where in kept.out.items() if attempt not in out]
         ran = min([*runs, *([kept.ran] if kept.ran else [])], key=itemgetter(1), default=None)
@@ -402,7 +406,7 @@
         """See `Taker`. It is answered once the journal tells of what it did."""
         message = self.by_id.get(told.message)
         if message is None or message.kept.destination != told.destination:
-            answer(self.past.answer(told, time.time()))
+            answer(self.past.answer(told, self.steady()))
             return
         kept, heard = message.kept, message.verdict is not None
         found = effect(told, kept.marks, message.attempts, len(message.out), message.handed, heard)
@@ -635,7 +639,7 @@
                         message.due,
                         kept.cls,
                         kept.attributes,
-                        kept.deadline,
+                        self.wall(message.due),
                         kept.idempotency,
                         start_by_ms / 1000.0,
                     )
@@ -738,7 +742,7 @@
         if told.id in self.by_id:  # told by an earlier process that did not come to the end's record
             return
         self.numbers += 1
-        now = time.time()
+        now = self.steady()
         most = self.settings.classes[self.classes[told.cls]].deadline_ms / 1000.0
         words = (told.id, told.cls, told.destination, now + most, told.body)
         kept = Kept(self.numbers, *words, taken_at=now, attributes=told.attributes)
@@ -748,7 +752,7 @@
     def remember(self, kept: Kept, end: Reply) -> None:
         """The journal keeps the message, without its body, until its identity may be forgotten."""
         self.ended.add(kept.id, End(kept.number, end, kept.deadline + self.keep_s))
-        for number in self.ended.forget(time.time()):
+        for number in self.ended.forget(self.steady()):
             self.journal.end(number)
 
     def forget(self, message: Message) -> None:
@@ -809,11 +813,11 @@
             self.tell(notice)
 
 
-def state_in_journal(kept: Kept) -> str:
-    """What a start finds of a message, in a word or two."""
+def state_in_journal(kept: Kept, now: float) -> str:
+    """What a start finds of a message, in a word or two; `now` by the steady clock."""
     if kept.notice is not None:
         return "remembered" if kept.notice[0] in ("delivered", "failed") else "to be notified"
-    if kept.deadline <= time.time():
+    if kept.deadline <= now:
         return "out of time"
     return "tried" if kept.attempts else "untried"
 
--- a/rushhitch/journal/steady.py
+++ b/rushhitch/journal/steady.py
@@ -1,10 +1,9 @@
-"""A clock by which attempts keep their age over a restart, also where the wall clock is set back."""
+"""A clock by which spans go on over a restart, also where the wall clock is stepped."""
 
 from __future__ import annotations
 
 import json
 import logging
-import math
 
 from rushhitch.journal.side import Side
 from rushhitch.journal.store import Journal
@@ -12,28 +11,28 @@
 log = logging.getLogger(__name__)
 
 NAME = "clock"
-READING_S = 0.001  # two clocks are read one after the other: a difference so small is none
+STEP_S = 1.0  # a difference beyond that is told: a wall clock that is kept right drifts by less
 
 
 def ahead_of(journal: Journal, wall_s: float, monotonic_s: float, boot: str) -> float:
-    """How far the steady clock is ahead of the monotonic one, which all processes of one boot share. It
-    starts at the wall clock, and where an earlier process of this boot had it further on, there: the wall
-    clock was set back, and by it that process's attempts would look younger than they are. A small file keeps
-    it."""
-    side, ahead_s, before_s = Side(journal, NAME), wall_s - monotonic_s, -math.inf
+    """How far the steady clock is ahead of the monotonic one, which all processes of one boot share. The
+    first of them takes it from the wall clock, a small file keeps it, and the others go on with it: whichever
+    way the wall clock is stepped, attempts keep their ages and messages their deadlines. Where the monotonic
+    clock reads less than when the file was written, it has begun anew, and so does the steady one."""
+    side, ahead_s = Side(journal, NAME), wall_s - monotonic_s
     if (content := side.load()) is not None:
         try:
             told = json.loads(content)
-            if boot and told["boot"] == boot:
+            if boot and told["boot"] == boot and float(told.get("monotonic_s", 0.0)) <= monotonic_s:
                 before_s = float(told["ahead_s"])
+                if abs(before_s - ahead_s) > STEP_S:
+                    log.warning("the wall clock was stepped by %.3f s: spans keep", ahead_s - before_s)
+                return before_s
         except (ValueError, KeyError, TypeError) as error:
             log.error("%s makes no sense, ages go by the wall clock: %r", NAME, error)
-    if before_s - ahead_s > READING_S:
-        log.warning("the wall clock was set back by %.3f s: attempts keep their age", before_s - ahead_s)
-    if before_s + READING_S >= ahead_s:
-        return before_s
     try:
-        side.store(json.dumps({"boot": boot, "ahead_s": ahead_s}).encode())
+        told_s = {"boot": boot, "ahead_s": ahead_s, "monotonic_s": monotonic_s}
+        side.store(json.dumps(told_s).encode())
     except OSError as error:
         log.error("%s is not kept, ages over a restart go by the wall clock: %s", NAME, error)
     return ahead_s
