At the exit the loop reads what has come, and notices ask the lifecycle, too

Need: reading client sockets past their transports was one more way to the system for a loop or a platform that leads sockets elsewhere; two steps of the loop read the same. Notices asked nobody in the step in which they are handed over.

--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -801,6 +801,10 @@
         self.save()
 
     def tell(self, notice: PendingNotice) -> None:
+        """Hand a notice over to the platform's side, unless its request has not ended."""
+        message = self.messages.get(notice.number)
+        if message is not None and not self.lifecycle.permits(message, Effect.NOTIFY):
+            return
         self.notify(notice.number, notice.id, notice.result, notice.wait_ms)
 
     def tell_expired(self) -> None:
--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import os
 import select
 import socket
 from collections import Counter, deque
@@ -19,8 +18,7 @@
 log = logging.getLogger(__name__)
 
 MOST_REQUEST = 69_632  # bytes of a request of one message: its body and 4 KiB
-READ_SIZE = 65_536
-MOST_LAST_READS = 4  # of a connection as the process ends: a request is no longer than these
+LAST_READS = 2  # steps of the loop: in the first it sees what has come, in the second it has read it
 SWEEP_S = 0.25  # between two looks for such connections
 BACKLOG = 4096  # connections that may wait to be accepted (the machine may allow fewer). One that finds no
 # place there is not told so: its client tries again after 1, 2, 4, 8 and 16 s
@@ -250,34 +248,15 @@
             self.transport.close()
 
     def leave(self) -> None:
-        """The process ends: in this step, all that was read is answered and the connection is closed. What
-        the system holds unread is read first. A request of which only a part has come is refused."""
+        """The process ends: in this step, all that was read is answered and the connection is closed. A
+        request of which only a part has come is refused."""
         self.finishing = True
-        if self.open() and not (self.deaf or self.input_closed or self.full):
-            self.read_last()
         self.serve_out()
         self.withdraw_requests()
         if self.size and not self.deaf and self.open():
             self.refuse("the process ends", Fault.LEAVING)
         self.end(Close.LEAVING)
 
-    def read_last(self) -> None:
-        """Read what has come so far; not for ever, and nothing more afterwards."""
-        assert self.transport is not None, "it is open"
-        self.transport.pause_reading()
-        fd = self.transport.get_extra_info("socket").fileno()
-        for _ in range(MOST_LAST_READS):
-            try:
-                data = os.read(fd, READ_SIZE)
-            except OSError:
-                break
-            if not data:
-                break
-            self.data_received(data)
-            if self.deaf or not self.open():
-                break
-        self.input_closed = True
-
     def portable(self) -> bytes | None:
         """What was read of a request that has not come whole, for another process to read on; None where the
         connection cannot be passed on as it stands."""
@@ -494,9 +473,14 @@
         for client in list(self.clients):
             client.finish()
 
+    async def read_out(self) -> None:
+        """Read what has come so far, as the process ends. The core must refuse offers by now."""
+        for _ in range(LAST_READS):
+            await asyncio.sleep(0)
+
     def leave(self) -> None:
         """The process ends: each connection is closed in this step, with no request left unanswered that was
-        read. The core must refuse offers by now."""
+        read."""
         if self.sweeping is not None:
             self.sweeping.cancel()
         for client in list(self.clients):
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -285,7 +285,8 @@
             pass
         await self.handing.freeze()  # what is not written whole has never run, and the journal says so
         await self.handing.end_calls()
-        self.clients.leave()
+        await clients.read_out()
+        clients.leave()
         held = len(self.journal.live)
         log.info(
             "%s ends, %d messages stay in the journal",
