Names of the field: StateTransfer, EndpointPool, InheritedAttempt, commit

Renames only: Handing, Endpoints, Place and places, Loan and lent, save with then and otherwise, undo, enders, ends of the node.

--- a/rushhitch/core/listing.py
+++ b/rushhitch/core/listing.py
@@ -12,7 +12,7 @@
 from crowpier.interface import Settings, State
 from rushhitch.connection import parse_address
 from rushhitch.core.limits import Limits
-from rushhitch.endpoints import PLATFORM, Endpoints, Place
+from rushhitch.endpoints import PLATFORM, EndpointEntry, EndpointPool
 from rushhitch.journal import Journal
 from rushhitch.partners.codec import Codec
 from rushhitch.partners.gate import Gate
@@ -41,7 +41,7 @@
         self,
         settings: Settings,
         codecs: Mapping[int, Codec],
-        endpoints: Endpoints,
+        endpoints: EndpointPool,
         journal: Journal,
         limits: Limits,
         note: Callable[[api.Event], None],
@@ -116,7 +116,7 @@
                 entry = replace(entry, state=State.DRAINING)
         kind = self.all_kinds[entry.kind]
         lane = self.lane_of(entry)
-        place = Place(parse_address(row["addr"]), lane, int(kind.batch), entry.state, codec)
+        place = EndpointEntry(parse_address(row["addr"]), lane, int(kind.batch), entry.state, codec)
         self.endpoints.place(entry.endpoint, place)
         self.entries[entry.endpoint], self.servers[entry.endpoint] = entry, row
         if self.limits.counts is not None:
--- a/rushhitch/core/messages.py
+++ b/rushhitch/core/messages.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Loan:
+class InheritedAttempt:
     """An attempt that the process before this one carries to its end; times by the clock that both have."""
 
     message: int
@@ -45,7 +45,7 @@
     answer: Answer | None = None
     reachable: Reachable = always_reachable  # whether that client can be answered in this step
     stage: Stage = Stage.ACCEPTED  # changed by `Lifecycle.advance` alone
-    enders: list[Answer] = field(default_factory=list)  # those who want to hear its end
+    completion_listeners: list[Answer] = field(default_factory=list)  # those who want to hear its end
     out: set[int] = field(default_factory=set)
     handed: bool = False  # the module is done with it; its partner's acknowledgement is to come
     pending: Result | None = None  # of a call that to the module is out until the acknowledgement comes
--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -25,8 +25,8 @@
 from rushhitch.core.lifecycle import Effect, Lifecycle, Phase, Refusal, Stage
 from rushhitch.core.limits import Limits
 from rushhitch.core.listing import Listing
-from rushhitch.core.messages import Loan, Message, PendingNotice
-from rushhitch.endpoints import PLATFORM, Endpoints, Result
+from rushhitch.core.messages import InheritedAttempt, Message, PendingNotice
+from rushhitch.endpoints import PLATFORM, EndpointPool, Result
 from rushhitch.journal import Journal, Kept
 from rushhitch.journal.commit import Committer
 from rushhitch.journal.space import RECORD_ROOM
@@ -82,7 +82,7 @@
         self.keep_s = keep_s
         self.loop = asyncio.get_running_loop()
         self.lifecycle = Lifecycle(log_refusal, log_step if log.isEnabledFor(logging.DEBUG) else None)
-        self.endpoints = Endpoints(
+        self.endpoints = EndpointPool(
             settings,
             self.attempt_ended,
             self.dropped,
@@ -98,7 +98,7 @@
         self.bans = bans  # endpoints that operators took out
         self.limits = Limits(settings.dispatchers, self.note, dispatcher.held)
         self.listing = Listing(settings, codecs or {}, self.endpoints, journal, self.limits, self.note)
-        self.lent: dict[tuple[int, int], Loan] = {}  # attempts that an earlier process carries to their end
+        self.inherited: dict[tuple[int, int], InheritedAttempt] = {}  # an earlier process ends them
         self.call_back: Callable[[int, int], None] = lambda message, attempt: None  # one of them
         self.ahead_s: float | None = None  # of the loop's clock is the steady one, `journal.steady`
         self.aging: dict[int, float] = {}  # messages with attempts that the module has yet to hear of: since
@@ -110,7 +110,7 @@
         self.ended = Ended(min(MOST, int(ENDED_SHARE * journal.space.live_most / RECORD_ROOM)))
         self.sinks: Sinks | None = None  # where clients may have ends told by messages of our own
         self.past = Past()
-        self.ends: list[tuple[Answer, Reply]] = []  # likewise, for those who wait
+        self.completions: list[tuple[Answer, Reply]] = []  # likewise, for those who wait
         self.retrying: asyncio.TimerHandle | None = None
         self.fresh_bytes = 0
         self.reminder: asyncio.TimerHandle | None = None
@@ -185,7 +185,7 @@
                 raise Pending("the id is that of a message which is being taken on")
             answer(TAKEN)  # it is taken on already, once
             if ended is not None:
-                held.enders.append(ended)
+                held.completion_listeners.append(ended)
             return 0
         if offer.remember and (end := self.ended.get(offer.id, self.steady())) is not None:
             answer(end)
@@ -220,7 +220,7 @@
         message = self.enter(kept, answer)
         message.stage, message.reachable = Stage.RECEIVED, reachable
         if ended is not None:
-            message.enders.append(ended)
+            message.completion_listeners.append(ended)
         if self.limits.counts is not None:
             self.limits.counts.arrived(offer.destination)
         self.fresh.append(message)
@@ -282,7 +282,7 @@
 
     def drop(self, message: Message) -> None:
         """Its client went without an answer: nothing is done for it."""
-        message.enders.clear()
+        message.completion_listeners.clear()
         message.sink = b""
         self.close(message, Effect.WITHDRAW, end=WITHDRAWN)
         self.note(api.Withdrawn(message.number))
@@ -292,10 +292,10 @@
         if not message.over:
             log.error("message %d is overdue and is failed", message.number)
             self.answer_end(message, "dead", 0.0)
-            self.save()
+            self.commit()
             self.note(api.Withdrawn(message.number))
 
-    def resume(self, known: Mapping[str, Any] | None = None, loans: Sequence[Loan] = ()) -> None:
+    def resume(self, known: Mapping[str, Any] | None = None, loans: Sequence[InheritedAttempt] = ()) -> None:
         """Take up what an earlier process left in the journal: its time and its attempts go on. One that
         still ends its calls has told what it had learned, and what it has out."""
         if known is not None:
@@ -303,11 +303,11 @@
         else:
             for endpoint, pace_per_s in self.journal.cold.items():
                 self.note(api.Remembered(endpoint, pace_per_s))
-        lent: dict[int, list[Loan]] = {}
+        inherited: dict[int, list[InheritedAttempt]] = {}
         for loan in loans:
             if loan.message in self.journal.live and loan.attempt in self.journal.live[loan.message].out:
-                lent.setdefault(loan.message, []).append(loan)
-                self.lent[loan.message, loan.attempt] = loan
+                inherited.setdefault(loan.message, []).append(loan)
+                self.inherited[loan.message, loan.attempt] = loan
         found: Counter[str] = Counter()
         for kept in self.journal.messages():  # in the order of taking, which some classes keep
             found[state_in_journal(kept, self.steady())] += 1
@@ -326,9 +326,9 @@
                 continue
             message = self.enter(kept)
             untried = not kept.attempts
-            if kept.number in lent:
-                message.out |= {loan.attempt for loan in lent[kept.number]}
-                self.arrive(message, lent[kept.number])
+            if kept.number in inherited:
+                message.out |= {loan.attempt for loan in inherited[kept.number]}
+                self.arrive(message, inherited[kept.number])
             elif kept.handed is not None and self.acknowledges(kept.destination) and not self.ordered(kept):
                 self.hand_over(message)
             else:
@@ -336,11 +336,11 @@
         found["never accepted"] += len(self.journal.dropped)
         if found.total():
             log.info("the journal was read", extra={name.replace(" ", "_"): n for name, n in found.items()})
-        self.save()
+        self.commit()
         if self.events:
             self.turn()
 
-    def arrive(self, message: Message, loans: Sequence[Loan] = (), untried: bool = False) -> None:
+    def arrive(self, message: Message, loans: Sequence[InheritedAttempt] = (), untried: bool = False) -> None:
         """Give the module a message that has had attempts; those that are out are in an earlier process. An
         age that no clock tells counts as one past every window."""
         kept, now = message.kept, self.steady()
@@ -400,7 +400,7 @@
             self.answer_end(message, "dead", 0.0)
             if message.pending is not None:
                 self.attempt_ended(replace(message.pending, later=False))
-            self.save()
+            self.commit()
 
     def acknowledge(self, told: Acknowledgement, answer: Answer) -> None:
         """See `Taker`. It is answered once the journal tells of what it did."""
@@ -441,7 +441,7 @@
                     message.waiting = True
             else:
                 message.verdict = told.verdict
-        self.save(lambda: answer(ACKNOWLEDGED), lambda: answer(Reply("refused", BUSY_MS)))
+        self.commit(lambda: answer(ACKNOWLEDGED), lambda: answer(Reply("refused", BUSY_MS)))
 
     def leaving(self, at: float) -> None:
         """The process ends at that time of the event loop's clock."""
@@ -466,7 +466,7 @@
             self.hand_over(message)
             if self.ordered(kept):
                 message.pending = result  # to the module the attempt stays out: the next of its key must wait
-                self.save()
+                self.commit()
                 return
         message.out.discard(result.attempt.number)
         if self.limits.counts is not None:
@@ -480,7 +480,7 @@
             self.journal.outcome(message.number, result.attempt.number, not result.outcome.never_ran)
         if result.over and not later and not message.over:
             self.close(message, Effect.DELIVER)
-        self.save()
+        self.commit()
         self.note(
             api.AttemptEnded(
                 message.number,
@@ -545,7 +545,7 @@
             for message in fresh:
                 if not message.over and self.lifecycle.advance(message, Effect.RECORD):
                     self.journal.offer(message.kept)
-        self.save(lambda: self.carry_out(fresh, sends), lambda: self.undo(fresh, sends))
+        self.commit(lambda: self.carry_out(fresh, sends), lambda: self.reject_uncommitted(fresh, sends))
 
     def carry_out(self, fresh: list[Message], sends: dict[str, list[Attempt]]) -> None:
         """The journal tells of all this now, as far as it is to before anybody is answered."""
@@ -565,8 +565,8 @@
                 else:
                     wanted.append(attempt)
             if wanted:
-                if self.limits.counts is not None and endpoint in self.endpoints.places:
-                    calls = -(-len(wanted) // self.endpoints.places[endpoint].batch)
+                if self.limits.counts is not None and endpoint in self.endpoints.entries:
+                    calls = -(-len(wanted) // self.endpoints.entries[endpoint].batch)
                     self.limits.counts.sent(endpoint, len(wanted), calls)
                 self.endpoints.send(endpoint, wanted)
 
@@ -583,7 +583,7 @@
         message.answer = None
         if answer(TAKEN) is False:  # the connection broke under the answer: its client cannot have heard
             self.drop(message)
-            self.save()
+            self.commit()
             return True
         self.lifecycle.advance(message, Effect.ACCEPT)
         return True
@@ -608,9 +608,9 @@
 
         for attempt in live():
             self.journal.attempt(attempt.message, attempt.number, endpoint, self.steady())
-        self.save(lambda: go(live()), lambda: go([]))
+        self.commit(lambda: go(live()), lambda: go([]))
 
-    def undo(self, fresh: list[Message], sends: dict[str, list[Attempt]]) -> None:
+    def reject_uncommitted(self, fresh: list[Message], sends: dict[str, list[Attempt]]) -> None:
         """Guards against doing what the journal does not tell: nothing is taken on, nothing is sent."""
         for message in fresh:
             if not message.over:
@@ -655,7 +655,7 @@
                         self.take_back(held)
                     cancelled = replace(result, outcome=Outcome.CANCELLED, over=False, later=False)
                     self.attempt_ended(cancelled)
-                elif (number, attempt) in self.lent:
+                elif (number, attempt) in self.inherited:
                     self.call_back(number, attempt)
                 else:
                     self.endpoints.cancel(number, attempt)
@@ -688,7 +688,7 @@
             return
         if message.answer is not None:
             answer, message.answer = message.answer, None
-            message.enders.clear()  # it was never taken on
+            message.completion_listeners.clear()  # it was never taken on
             end = FAILED if result == "dead" else Reply("refused", wait_ms)
             answer(end)
             message.sink = b""
@@ -713,8 +713,8 @@
         noticed = effect is Effect.EXPIRE
         if end is not WITHDRAWN:
             self.figures.ended(message.kept.cls, end.what)
-        self.ends += [(ended, end) for ended in message.enders]
-        message.enders.clear()
+        self.completions += [(ended, end) for ended in message.completion_listeners]
+        message.completion_listeners.clear()
         if message.watchdog is not None:
             message.watchdog.cancel()
         if message.attempts and self.acknowledges(message.kept.destination):
@@ -762,33 +762,33 @@
     def notice_heard(self, number: int) -> None:
         if number in self.ended.numbers:
             self.journal.owe(number, FAILED.what, 0.0)  # the platform knows now
-            self.save()
+            self.commit()
         elif number in self.journal.live:
             self.journal.end(number)
-            self.save()
+            self.commit()
 
-    def save(
-        self, then: Callable[[], None] = lambda: None, otherwise: Callable[[], None] = lambda: None
+    def commit(
+        self, on_committed: Callable[[], None] = lambda: None, on_failed: Callable[[], None] = lambda: None
     ) -> None:
-        """Write what was noted. `then`, and the notices due, follow once it is there; `otherwise` where the
-        disk does not take it, and what was noted is tried again soon. Guards against an end that is told and
-        then forgotten: after a restart the message would be sent as if nobody had been told."""
+        """Write what was noted. `on_committed`, and the notices due, follow once it is there; `on_failed` if
+        the disk does not take it, and what was noted is tried again soon. Guards against an end that is told
+        and then forgotten: after a restart the message would be sent as if nobody had been told."""
         if self.relinquished:  # the folder is another process's
             return
         notices, self.notices = self.notices, []
-        ends, self.ends = self.ends, []
+        ends, self.completions = self.completions, []
 
         def done() -> None:
             for notice in notices:
                 self.tell(notice)
             for ended, end in ends:
                 ended(end)
-            then()
+            on_committed()
 
         def failed() -> None:
             self.notices[:0] = notices
-            self.ends[:0] = ends
-            otherwise()
+            self.completions[:0] = ends
+            on_failed()
             self.tell_expired()
             if self.retrying is None:
                 dues = [notice.due - self.loop.time() for notice in self.notices]
@@ -798,7 +798,7 @@
 
     def retry(self) -> None:
         self.retrying = None
-        self.save()
+        self.commit()
 
     def tell(self, notice: PendingNotice) -> None:
         """Hand a notice over to the platform's side, unless its request has not ended."""
--- a/rushhitch/core/handing.py
+++ b/rushhitch/core/state_transfer.py
@@ -9,13 +9,13 @@
 from crowpier import learned
 from crowpier.interface import Outcome
 from rushhitch.core.lifecycle import Phase
-from rushhitch.core.messages import Loan
+from rushhitch.core.messages import InheritedAttempt
 from rushhitch.core.node import Node
 from rushhitch.endpoints import Result
 from rushhitch.partners.codec import Attempt
 
 
-class Handing:
+class StateTransfer:
     """The same node on either side: of the process that hands over, or of the one that takes over."""
 
     def __init__(self, node: Node) -> None:
@@ -46,7 +46,7 @@
         node = self.node
         now = node.loop.time()
         loans = [
-            Loan(message, attempt, call.endpoint, id(call), call.started, call.first_due)
+            InheritedAttempt(message, attempt, call.endpoint, id(call), call.started, call.first_due)
             for (message, attempt), call in node.endpoints.calls.items()
         ]
         told = {
@@ -84,10 +84,10 @@
     ) -> None:
         """The earlier process tells how one of its calls ended."""
         node = self.node
-        loan, held = node.lent.pop((message, attempt), None), node.messages.get(message)
+        loan, held = node.inherited.pop((message, attempt), None), node.messages.get(message)
         if loan is None or held is None:
             return
-        if wait_ms and (place := node.endpoints.places.get(loan.endpoint)) is not None:
+        if wait_ms and (place := node.endpoints.entries.get(loan.endpoint)) is not None:
             self.inherit_waits([(place.lane, node.loop.time() + wait_ms / 1000.0)])
         kept = held.kept
         words = (kept.id, kept.body, held.due, held.due, kept.cls, kept.attributes, kept.deadline)
@@ -97,5 +97,5 @@
     def lose_loans(self) -> None:
         """The earlier process has died: what it had out may have run."""
         node = self.node
-        for message, attempt in list(node.lent):
+        for message, attempt in list(node.inherited):
             self.loan_ended(message, attempt, Outcome.RESET)
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -33,7 +33,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class EndpointEntry:
     """Where an endpoint is and what binds it; `lane` is what a told wait holds for."""
 
     address: tuple[str, int]
@@ -95,7 +95,7 @@
     that says nothing of the endpoint."""
 
 
-class Endpoints:
+class EndpointPool:
     """Carries out sends, cancels, probes and hang-ups; hands each result to `report`."""
 
     def __init__(
@@ -114,7 +114,7 @@
         self.may_send = may_send  # asked in the step of its last byte
         self.most = most  # connections, with a call or idle
         self.loop = asyncio.get_running_loop()
-        self.places: dict[str, Place] = {}
+        self.entries: dict[str, EndpointEntry] = {}
         self.idle: dict[str, list[tuple[Connection, float]]] = {}
         self.connections = 0
         self.busy: Counter[str] = Counter()  # calls and probes out, by endpoint
@@ -127,23 +127,23 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.keep_s = settings.conn_idle_ms * (1.0 - IDLE_MARGIN) / 1000.0
 
-    def place(self, endpoint: str, place: Place) -> None:
+    def place(self, endpoint: str, place: EndpointEntry) -> None:
         """The endpoint is listed here from now on."""
-        old = self.places.get(endpoint)
-        self.places[endpoint] = place
+        old = self.entries.get(endpoint)
+        self.entries[endpoint] = place
         if place.state is not State.READY or (old is not None and old.address != place.address):
             for entry in list(self.idle.get(endpoint, ())):
                 self.drop(endpoint, entry)
 
     def drain(self, endpoint: str) -> None:
         """It wants nothing new."""
-        if endpoint in self.places:
-            self.place(endpoint, replace(self.places[endpoint], state=State.DRAINING))
+        if endpoint in self.entries:
+            self.place(endpoint, replace(self.entries[endpoint], state=State.DRAINING))
 
     def bar(self, endpoint: str) -> None:
         """The endpoint is no longer listed."""
-        if endpoint in self.places:
-            self.places[endpoint] = replace(self.places[endpoint], state=State.GONE)
+        if endpoint in self.entries:
+            self.entries[endpoint] = replace(self.entries[endpoint], state=State.GONE)
             self.hang_up(endpoint)
             self.forget(endpoint)
 
@@ -188,9 +188,9 @@
         """Guards against growth where endpoints come and go: of one that is gone only a wait is kept."""
         if not self.busy[endpoint]:
             del self.busy[endpoint]
-            place = self.places.get(endpoint)
+            place = self.entries.get(endpoint)
             if place is not None and place.state is State.GONE:
-                del self.places[endpoint]
+                del self.entries[endpoint]
                 now = self.loop.time()
                 self.waits = {lane: until for lane, until in self.waits.items() if until > now}
 
@@ -212,7 +212,7 @@
         now = self.loop.time()
         while (idle := self.idle.get(endpoint)) and now - idle[0][1] >= self.keep_s:
             self.drop(endpoint, idle[0])
-        place = self.places.get(endpoint)
+        place = self.entries.get(endpoint)
         barred = self.frozen or endpoint in self.banned
         if barred or place is None or place.state is not State.READY or place.address != connection.address:
             self.close(connection)
@@ -250,7 +250,7 @@
             async with asyncio.timeout(self.settings.connect_timeout_ms / 1000.0):
                 while True:
                     try:
-                        return await Connection.open(self.places[endpoint].address)
+                        return await Connection.open(self.entries[endpoint].address)
                     except OSError as error:
                         if error.errno not in NO_DESCRIPTOR:
                             raise
@@ -270,11 +270,11 @@
 
     def send(self, endpoint: str, attempts: list[Attempt]) -> None:
         """Start the calls that one turn's attempts at an endpoint make."""
-        if self.frozen or endpoint not in self.places or endpoint in self.banned:
+        if self.frozen or endpoint not in self.entries or endpoint in self.banned:
             for attempt in attempts:
                 self.report(Result(attempt, endpoint, Outcome.MOOT, 0.0))
             return
-        place = self.places[endpoint]
+        place = self.entries[endpoint]
         size = place.codec.batch(place.batch)
         for start in range(0, len(attempts), size):
             self.start(endpoint, attempts[start : start + size])
@@ -282,7 +282,7 @@
     def start(self, endpoint: str, attempts: list[Attempt]) -> None:
         open_ = {(a.message, a.number): a for a in attempts}
         first_due = min(attempt.due for attempt in attempts)
-        codec = self.places[endpoint].codec
+        codec = self.entries[endpoint].codec
         call = Call(endpoint, self.loop.time(), open_, [attempt.id for attempt in attempts], codec, first_due)
         self.calls.update(dict.fromkeys(call.open, call))
         call.task = self.keep_task(endpoint, self.run(call, attempts))
@@ -457,7 +457,7 @@
     def barred(self, endpoint: str, connection: Connection) -> bool:
         """Guards against a send that was decided before its connection came up: by then a wait may have been
         told, or the endpoint may be draining, or at another address."""
-        place = self.places[endpoint]
+        place = self.entries[endpoint]
         if endpoint in self.banned or connection.address != place.address:
             return True
         return place.state is not State.READY or self.waits.get(place.lane, 0.0) > self.loop.time()
@@ -478,7 +478,7 @@
         response = await connection.response()
         call.wait = call.codec.wait_ms(response, time.time())
         if call.wait:
-            lane = self.places[call.endpoint].lane
+            lane = self.entries[call.endpoint].lane
             self.waits[lane] = max(self.waits.get(lane, 0.0), self.loop.time() + call.wait / 1000.0)
         body = await connection.body(MOST_ANSWER)
         call.later = call.codec.later(response.status_code)
@@ -512,7 +512,7 @@
                 self.leave(connection, call, Outcome.ERROR)
 
     def probe(self, endpoint: str, report: Callable[[str, Outcome, float], None]) -> None:
-        if endpoint in self.places and endpoint not in self.banned:
+        if endpoint in self.entries and endpoint not in self.banned:
             self.keep_task(endpoint, self.run_probe(endpoint, report))
         else:
             report(endpoint, Outcome.MOOT, 0.0)
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -30,12 +30,12 @@
 from rushhitch.control.server import MOST_CALLERS, Control
 from rushhitch.control.words import TAKES_ID, BadCommand, Refused, answer, parse
 from rushhitch.core.figures import Figures
-from rushhitch.core.handing import Handing
 from rushhitch.core.lifecycle import Phase
 from rushhitch.core.listing import with_singles
-from rushhitch.core.messages import Loan
+from rushhitch.core.messages import InheritedAttempt
 from rushhitch.core.node import Node
 from rushhitch.core.operators import Operators
+from rushhitch.core.state_transfer import StateTransfer
 from rushhitch.discovery import Notices, Platform, Watch
 from rushhitch.fronts.listener import Clients
 from rushhitch.fronts.resp2 import Resp2
@@ -151,10 +151,10 @@
             dispatchers=configuration.settings.dispatchers,
         )
         self.platform = Platform(self.watch, self.notices)
-        self.handing, operators = Handing(node), Operators(node)
+        self.transfer, operators = StateTransfer(node), Operators(node)
         self.handover = Handover(
             configuration.state,
-            self.handing,
+            self.transfer,
             operators,
             self.clients,
             lambda: self.watch.version,
@@ -162,7 +162,7 @@
         )
         self.member = make_member(configuration, inheritance.told)
         self.sharing = make_sharing(node, configuration, self.member)
-        self.handing.more = self.hand_membership
+        self.transfer.more = self.hand_membership
         self.reloading: asyncio.Task[None] | None = None
         self.sizing: asyncio.TimerHandle | None = None
 
@@ -170,8 +170,8 @@
         """Go on with what is there, and take what comes."""
         configuration, node, told = self.configuration, self.node, self.inheritance.told
         if told is not None:
-            self.handing.inherit_waits(told["waits"])
-            node.resume(told["learned"], [Loan(*loan) for loan in told["loans"]])
+            self.transfer.inherit_waits(told["waits"])
+            node.resume(told["learned"], [InheritedAttempt(*loan) for loan in told["loans"]])
         else:
             node.resume()
         if any(message.kept.destination not in node.listing.destinations for message in node.by_id.values()):
@@ -212,10 +212,10 @@
 
     def take_over(self, takeover: Takeover) -> None:
         """What the process before this one still tells: connections, and how its calls end."""
-        node, handing = self.node, self.handing
+        node, transfer = self.node, self.transfer
 
         def ended(told: dict[str, Any]) -> None:
-            handing.loan_ended(
+            transfer.loan_ended(
                 int(told["message"]),
                 int(told["attempt"]),
                 Outcome(told["outcome"]),
@@ -225,7 +225,7 @@
                 told["later"],
             )
 
-        takeover.adopt, takeover.ended, takeover.dead = self.clients.adopt, ended, handing.lose_loans
+        takeover.adopt, takeover.ended, takeover.dead = self.clients.adopt, ended, transfer.lose_loans
         takeover.relay.operate, node.call_back = self.handover.relay.operate, takeover.call_back
         takeover.go_on()
 
@@ -283,8 +283,8 @@
                 await self.notices.empty.wait()
         except TimeoutError:
             pass
-        await self.handing.freeze()  # what is not written whole has never run, and the journal says so
-        await self.handing.end_calls()
+        await self.transfer.freeze()  # what is not written whole has never run, and the journal says so
+        await self.transfer.end_calls()
         await clients.read_out()
         clients.leave()
         held = len(self.journal.live)
--- a/rushhitch/sharing/budgets.py
+++ b/rushhitch/sharing/budgets.py
@@ -58,7 +58,7 @@
 
 
 @dataclass(slots=True)
-class Loan:
+class InheritedAttempt:
     """What another may be using of this member's part, until then."""
 
     units: float
@@ -71,7 +71,7 @@
 
     size: float
     need: float = 0.0  # what this member would use
-    lent: dict[str, list[Loan]] = field(default_factory=dict)  # by borrower
+    lent: dict[str, list[InheritedAttempt]] = field(default_factory=dict)  # by borrower
     borrowed: dict[str, tuple[int, float, float]] = field(default_factory=dict)  # number, units, end
 
     def out(self, now: float, but: str = "") -> float:
@@ -202,7 +202,7 @@
             left = self.part(budget, now) - budget.out(now, but=borrower) - keeps
             lends = max(min(units, left), 0.0)
             if lends > 0.0:
-                budget.lent.setdefault(borrower, []).append(Loan(lends, now + LOAN_S))
+                budget.lent.setdefault(borrower, []).append(InheritedAttempt(lends, now + LOAN_S))
             found[name] = lends
         return found
 
--- a/rushhitch/succession/handover.py
+++ b/rushhitch/succession/handover.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 from typing import Any
 
-from rushhitch.core.handing import Handing
 from rushhitch.core.operators import Operators
+from rushhitch.core.state_transfer import StateTransfer
 from rushhitch.endpoints import Result
 from rushhitch.fronts.listener import Clients
 from rushhitch.succession import channel as channels
@@ -31,14 +31,14 @@
     def __init__(
         self,
         folder: Path,
-        handing: Handing,
+        transfer: StateTransfer,
         operators: Operators,
         clients: Clients,
         version: Callable[[], int],
         operate: Callable[[bytes], bytes],
     ) -> None:
         self.folder, self.clients = folder, clients
-        self.handing, self.operators, self.node = handing, operators, handing.node
+        self.transfer, self.operators, self.node = transfer, operators, transfer.node
         self.version, self.relay = version, Relay(operate)
         self.loop = asyncio.get_running_loop()
         self.incumbent = Incumbent()
@@ -137,7 +137,7 @@
         self.clients.pause_listening()
         while self.clients.accepted:
             await asyncio.wait(self.clients.accepted)
-        if not await self.handing.freeze():
+        if not await self.transfer.freeze():
             self.incumbent.cannot_yield()
             log.error("the disk does not take what a successor needs: this process ends without handing over")
             return False
@@ -145,7 +145,7 @@
         if channel is None:  # it died meanwhile, and nothing was given away yet
             self.incumbent.cannot_yield()
             return False
-        lock, told = self.handing.yield_all(self.report)
+        lock, told = self.transfer.yield_all(self.report)
         channel.send({"t": "yield", "version": self.version()} | told, [lock])
         held = len(told["loans"])
         log.info("handed over, %d messages are out here until their calls end", held)
--- a/tests/test_cloudevents_sinks.py
+++ b/tests/test_cloudevents_sinks.py
@@ -119,7 +119,7 @@
         assert (await desk.post(expirytime=soon))[0] == 202
         message = desk.node.messages[1]
         desk.node.answer_end(message, "bounced", 0.0)
-        desk.node.save()
+        desk.node.commit()
         assert (await desk.told())["data"]["state"] == "refused"
         object.__setattr__(desk.node.settings, "max_held", 0)
         assert (await desk.post(id="2"))[0] == 503
@@ -180,7 +180,7 @@
             await asyncio.sleep(0.005)
         assert desk.sink.requests.empty()
         desk.node.close(desk.node.messages[1], Effect.DELIVER)
-        desk.node.save()
+        desk.node.commit()
         assert (await desk.told())["data"]["state"] == "delivered"
 
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -19,7 +19,7 @@
 from test_journal_sync import kept
 
 from crowpier.interface import Outcome, State
-from rushhitch.endpoints import Place
+from rushhitch.endpoints import EndpointEntry
 from rushhitch.fronts import listener
 from rushhitch.journal import Journal, Sync
 from rushhitch.journal.commit import Committer
@@ -224,7 +224,7 @@
     @with_caller()
     async def _(caller):
         other = await Peer().start()
-        caller.endpoints.place("e2", Place(other.address, 8, 1, State.READY))
+        caller.endpoints.place("e2", EndpointEntry(other.address, 8, 1, State.READY))
         caller.send(1)
         request = await caller.partner.next()
         os.close(lower)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,8 +17,8 @@
 from crowpier.benchlink import settings_of
 from crowpier.interface import Arrived, Entry, Outcome
 from rushhitch.connection import Connection
-from rushhitch.core.handing import Handing
 from rushhitch.core.node import Node
+from rushhitch.core.state_transfer import StateTransfer
 from rushhitch.journal import Journal
 from rushhitch.taker import Offer
 
@@ -283,15 +283,15 @@
 
 
 FROZEN = """import os, sys, time
-import rushhitch.core.handing as handing
-freeze = handing.Handing.freeze
+import rushhitch.core.state_transfer as transfer
+freeze = transfer.StateTransfer.freeze
 async def frozen(self):
     done = await freeze(self)
     print("frozen", file=sys.stderr, flush=True)
     while not os.path.exists(os.environ["GO_ON"]):
         time.sleep(0.005)
     return done
-handing.Handing.freeze = frozen
+transfer.StateTransfer.freeze = frozen
 """
 
 
@@ -338,11 +338,11 @@
     partner, _ = await loop.sock_accept(listener)
     while node.endpoints.written < batch:
         await asyncio.sleep(0.005)
-    handing = Handing(node)
-    await handing.freeze()
+    transfer = StateTransfer(node)
+    await transfer.freeze()
     partner.sendall(answer)  # the loop has not polled since
     started = loop.time()
-    await handing.end_calls()
+    await transfer.end_calls()
     assert loop.time() - started < 1.0 and not node.endpoints.calls
     node.journal.close()
     for sock in (partner, listener):
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -10,23 +10,23 @@
 
 from crowpier.interface import Outcome, State
 from rushhitch import connection, endpoints
-from rushhitch.endpoints import Endpoints, Place
+from rushhitch.endpoints import EndpointEntry, EndpointPool
 from rushhitch.partners.codec import Attempt
 
 
 class Caller:
-    """`Endpoints` with one endpoint, a partner that the test plays, and the results as they come."""
+    """`EndpointPool` with one endpoint, a partner that the test plays, and the results as they come."""
 
     async def start(self, batch=1, **changes):
         self.partner = await Peer().start()
         self.results = asyncio.Queue()
-        self.endpoints = Endpoints(settings(**changes), self.results.put_nowait)
+        self.endpoints = EndpointPool(settings(**changes), self.results.put_nowait)
         self.batch = batch
         self.list(self.partner.address)
         return self
 
     def list(self, address, state=State.READY):
-        self.endpoints.place("e1", Place(address, 7, self.batch, state))
+        self.endpoints.place("e1", EndpointEntry(address, 7, self.batch, state))
 
     def send(self, *messages, body=b"hello", patience=30.0, endpoint="e1"):
         stop_at = asyncio.get_running_loop().time() + patience
@@ -252,7 +252,7 @@
     async def _(caller):
         caller.endpoints.most = 2
         other = await Peer().start()
-        caller.endpoints.place("e2", Place(other.address, 8, 1, State.READY))
+        caller.endpoints.place("e2", EndpointEntry(other.address, 8, 1, State.READY))
         caller.send(1)
         first = await caller.partner.next()
         first.answer(200)
@@ -417,7 +417,7 @@
         out.answer(200)
         assert await caller.result() == (Outcome.OK, True, 0.0)
         assert await request.ended()
-        while caller.endpoints.places:
+        while caller.endpoints.entries:
             await asyncio.sleep(0)
         assert not (caller.endpoints.idle or caller.endpoints.busy or caller.endpoints.connections)
         caller.send(3)
--- a/tests/test_fronts_cloudevents.py
+++ b/tests/test_fronts_cloudevents.py
@@ -592,7 +592,7 @@
         assert (await client.answer())[0] == 202
         message = front.node.by_id[next(iter(front.node.by_id))]
         front.node.answer_end(message, "bounced", 300.0)
-        front.node.save()
+        front.node.commit()
         assert front.node.ended.ends == {}
 
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -1,4 +1,4 @@
-"""Endpoints that operators take out and give back: the decisions, the door to the sockets, the file."""
+"""EndpointPool that operators take out and give back: the decisions, the door to the sockets, the file."""
 
 import asyncio
 import errno
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -190,7 +190,7 @@
     async def _(bench):
         rows = [bench.row | {"id": "e2", "kind": "unheard"}, bench.row | {"id": "e3", "addr": "nowhere"}]
         bench.node.listing.take({"version": 42, "servers": [*rows, {"id": "e1", "state": "DELETED"}]})
-        assert not bench.node.listing.entries and not bench.node.endpoints.places
+        assert not bench.node.listing.entries and not bench.node.endpoints.entries
 
     assert caplog.text.count("an entry is left out") == 2
 
@@ -216,9 +216,9 @@
         (entry,) = told[-1].entries
         assert (entry.endpoint, entry.state) == ("e1", state)
         if state is State.GONE:
-            assert "e1" not in bench.node.endpoints.places
+            assert "e1" not in bench.node.endpoints.entries
         else:
-            assert bench.node.endpoints.places["e1"].state is state
+            assert bench.node.endpoints.entries["e1"].state is state
             assert bench.node.listing.entries["e1"].state is state
 
 
@@ -227,7 +227,7 @@
     @with_bench(tmp_path)
     async def _(bench):
         bench.node.listing.take({"version": 42, "full": full, "servers": [bench.row | {"id": "e2"}]})
-        assert ("e1" in bench.node.endpoints.places) is not full
+        assert ("e1" in bench.node.endpoints.entries) is not full
 
 
 def sizes(bench):
@@ -272,7 +272,7 @@
     calls = Counter(call.endpoint for call in pool.calls.values())
     idle = sum(map(len, pool.idle.values()))
     believed = {e.name: (len(e.calls), len(e.idle)) for e in decisions.endpoints.values()}
-    held = {name: (calls[name], len(pool.idle.get(name, ()))) for name in pool.places}
+    held = {name: (calls[name], len(pool.idle.get(name, ()))) for name in pool.entries}
     return (believed, decisions.used + idle), (held, pool.connections)
 
 
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -279,7 +279,7 @@
             bench.node.offer(Offer(b"m%d" % number, "pay", 7, 6000.0, b"hello"), bench.answers.put_nowait)
         assert [(await bench.answers.get()).what for _ in range(3)] == ["refused"] * 3
         failing[0] = False
-        bench.node.save()
+        bench.node.commit()
         assert not Journal(tmp_path / "state", 3e6, writable=False).live
         assert bench.partner.requests.empty()
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -15,8 +15,8 @@
 from test_node import with_bench
 
 from lab.addresses import free_address
-from rushhitch.core.handing import Handing
 from rushhitch.core.operators import Operators
+from rushhitch.core.state_transfer import StateTransfer
 from rushhitch.succession import channel as channels
 from rushhitch.succession.channel import Channel
 from rushhitch.succession.states import VERSION, Do, Incumbent, New, Old, Successor
@@ -487,9 +487,9 @@
         monkeypatch.setattr(bench.journal.files, "write", full)
         request.answer(200)
         await until(lambda: bench.journal.unsaved)
-        assert not await Handing(bench.node).freeze(), "an end that no file has would be forgotten"
+        assert not await StateTransfer(bench.node).freeze(), "an end that no file has would be forgotten"
         monkeypatch.undo()
-        assert await Handing(bench.node).freeze()
+        assert await StateTransfer(bench.node).freeze()
 
 
 def test_once_it_has_handed_over_a_process_writes_nothing_and_takes_nothing(tmp_path):
@@ -497,9 +497,9 @@
     async def _(bench):
         bench.offer()
         request = await bench.partner.next()
-        assert await Handing(bench.node).freeze()
+        assert await StateTransfer(bench.node).freeze()
         results = []
-        lock, told = Handing(bench.node).yield_all(results.append)
+        lock, told = StateTransfer(bench.node).yield_all(results.append)
         held = {path: path.read_bytes() for path in (tmp_path / "state").iterdir() if path.is_file()}
         assert [loan[:3] for loan in told["loans"]] == [(1, 0, "e1")]
         bench.node.offer(Offer(b"m2", "note", 7, 6000.0, b""), bench.answers.put_nowait)
