--- a/lab/rude_clients.py
+++ b/lab/rude_clients.py
@@ -18,6 +18,7 @@
 PIECES_S = (0.05, 1.2)  # between the halves of a request
 GIVE_UP_S = (0.0, 0.03)  # from a request to the end of the connection
 BURST = (2, 12)  # requests at once
+BURST_S = 2.0  # for so long each of their answers is waited for
 LINGER_NONE = struct.pack("ii", 1, 0)  # a close resets
 
 
@@ -75,8 +76,8 @@
     async def connect(self, port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), ANSWER_S)
 
-    async def answer(self, name: str, reader: asyncio.StreamReader, patience_s: float = ANSWER_S) -> None:
-        """Wait for the answer to one request and note what came."""
+    async def answer(self, name: str, reader: asyncio.StreamReader, patience_s: float = ANSWER_S) -> str:
+        """Wait for the answer to one request, note what came, and give it."""
         try:
             line = await asyncio.wait_for(reader.readline(), patience_s)
             kind = kind_of(line)
@@ -85,6 +86,7 @@
         except OSError:
             kind = "reset"
         self.history.add("answer", id=name, answer=kind, wait_ms=0)
+        return kind
 
     async def half_close(self, dispatcher: str, port: int) -> None:
         reader, writer = await self.connect(port)
@@ -124,8 +126,12 @@
         for _, _, offer in made:
             self.offered(offer)
         writer.write(b"".join(data for _, data, _ in made))
+        waits = True
         for name, _, _ in made:
-            await self.answer(name, reader, 2.0)
+            if waits:
+                waits = await self.answer(name, reader, BURST_S) != "none"
+            else:  # given up: what comes now would be taken for the answer to another request
+                self.history.add("answer", id=name, answer="none", wait_ms=0)
         writer.close()
 
     async def give_up(self, dispatcher: str, port: int) -> None:
