--- a/lab/dispatcher.py
+++ b/lab/dispatcher.py
@@ -3,7 +3,8 @@
 The file that `RUSHHITCH_LAB_ROOM` names holds the bytes that the disk has for the folder, or `eio` where each
 write fails, or `short` where each does its first half and then fails; without it the disk has enough. That of
 `RUSHHITCH_LAB_CLOCK` holds the seconds by which the wall clock is off, that of `RUSHHITCH_LAB_KILL_BEHIND`
-behind which answer the process is killed. Nothing else differs from
+behind which answer the process is killed, that of `RUSHHITCH_LAB_KILL_AT` at which of its system calls.
+Nothing else differs from
 `python -m rushhitch`.
 """
 
@@ -18,8 +19,10 @@
 import sys
 import time
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 from types import FrameType
+from typing import Any
 
 from lab.disk import FullFiles
 from rushhitch.__main__ import main
@@ -98,6 +101,46 @@
         return sent
 
 
+class KillAtCall:
+    """Counts the process's system calls that change something outside it, and kills it before or after the
+    n-th, once a file tells which: the count begins as that file is first seen."""
+
+    OF_OS = ("write", "pwrite", "fdatasync", "fsync", "replace", "unlink", "ftruncate")
+    OF_SOCKETS = ("send", "connect", "close", "shutdown")
+
+    def __init__(self, path: Path) -> None:
+        self.path, self.count = path, 0
+        self.nth, self.how = 0, ""
+
+    def install(self) -> None:
+        for name in self.OF_OS:
+            setattr(os, name, self.counted(getattr(os, name)))
+        for name in self.OF_SOCKETS:
+            setattr(socket.socket, name, self.counted(getattr(socket.socket, name)))
+
+    def counted(self, call: Callable[..., Any]) -> Callable[..., Any]:
+        def counting(*words: Any, **named: Any) -> Any:
+            if isinstance(words[0], socket.socket) and words[0].family == socket.AF_UNIX:
+                return call(*words, **named)  # the event loop's own
+            here = self.here()
+            if here and self.how == "before":
+                os.kill(os.getpid(), signal.SIGKILL)
+            result = call(*words, **named)
+            if here:
+                os.kill(os.getpid(), signal.SIGKILL)
+            return result
+
+        return counting
+
+    def here(self) -> bool:
+        """Whether this call is the one."""
+        if not self.how and self.path.exists():
+            nth, self.how = self.path.read_text().split()
+            self.nth = int(nth)
+        self.count += bool(self.how)
+        return bool(self.how) and self.count == self.nth
+
+
 class SteppedClock:
     """Stands for `time.time`: the system's, off by what a file tells, which is looked at now and then."""
 
@@ -118,6 +161,8 @@
     if behind := os.environ.get("RUSHHITCH_LAB_KILL_BEHIND"):
         shim = KillBehindAnswer(Path(behind))
         socket.socket.send = lambda sock, data, *flags: shim.send(sock, data, *flags)  # type: ignore[method-assign]
+    if kill_at := os.environ.get("RUSHHITCH_LAB_KILL_AT"):
+        KillAtCall(Path(kill_at)).install()
     if clock := os.environ.get("RUSHHITCH_LAB_CLOCK"):
         time.time = SteppedClock(Path(clock))
     profile = Profile(told) if (told := os.environ.get("RUSHHITCH_LAB_PROFILE")) else None
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -36,7 +36,9 @@
         self.room = folder / "room"  # holds the bytes that its disk has, where the scenario fills it
         self.clock = folder / "clock"  # holds the seconds by which its wall clock is stepped, if any
         self.behind = folder / "kill_behind"  # holds which of its answers it is killed behind, if any
+        self.kill_at = folder / "kill_at"  # holds at which of its system calls it is killed, if any
         self.dies_behind = False  # a fault of the scenario does that
+        self.dies_at_calls = False  # likewise at its system calls
         self.steps_clock = False  # a fault of the scenario does
         self.log = (folder / "log").open("ab")
         self.turn = asyncio.Lock()  # held by whoever stops it and starts it again
@@ -69,6 +71,7 @@
         }
         env |= {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(self.state), "RUSHHITCH_TOML": str(self.toml)}
         env["RUSHHITCH_LAB_ROOM"] = str(self.room)
+        env["RUSHHITCH_LAB_KILL_AT"] = str(self.kill_at) if self.dies_at_calls else ""
         if self.dies_behind:
             env["RUSHHITCH_LAB_KILL_BEHIND"] = str(self.behind)
         if self.steps_clock:
--- a/lab/run.py
+++ b/lab/run.py
@@ -153,6 +153,7 @@
             dispatcher = Dispatcher(name, self.folder / name, config, self.history, own)
             dispatcher.serves = self.serves
             dispatcher.dies_behind = any(fault.what == "kill_behind" for fault in self.scenario.faults)
+            dispatcher.dies_at_calls = self.dies_at_calls
             dispatcher.steps_clock = any(fault.what == "clock" for fault in self.scenario.faults)
             dispatcher.known = self.directory.known
             dispatcher.words = ("forward",) if self.planners else ()
@@ -283,6 +284,7 @@
             self.directory.stop()
 
     over = False
+    dies_at_calls = False  # dispatchers are killed at system calls
 
     def sweep(self) -> None:
         self.partners.sweep()
--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -136,21 +136,36 @@
         }
 
     async def start(self) -> None:
+        await self.spawn(sys.executable, "-m", "rushhitch")
+        await self.serves()
+
+    async def spawn(self, *words: str) -> asyncio.subprocess.Process:
+        """Start it by that command; it does not serve yet."""
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config()))
         env = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
         env |= {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(self.folder / "state")}
         env["ROUTER_DISCOVERY"] = self.first_discovery
         self.process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "rushhitch"),
+            *words,
             cwd=ROOT,
             env=env,
             stderr=asyncio.subprocess.PIPE,
             preexec_fn=self.limit if self.descriptors else None,
         )
+        return self.process
+
+    async def serves(self) -> None:
+        """Until it is ready."""
         line = await self.log_line(" is ready on ")
         self.port = int(line.split(" is ready on ")[1].split(",")[0].split(":")[1])
 
+    async def move_discovery(self) -> Peer:
+        """The configuration file names another platform from now on, which this gives."""
+        self.platform = await Peer().start()
+        (self.folder / "config.json").write_text(json.dumps(self.config()))
+        return self.platform
+
     def limit(self) -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
 
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -190,6 +190,24 @@
     run(work())
 
 
+def test_no_attempt_is_recorded_while_its_last_byte_is_held_back(tmp_path, monkeypatch):
+    # Guards against a kill in that time: the next process would take a message that never left for one that
+    # may have run, and give an unsafe one up with no call.
+    monkeypatch.setattr(connection, "LOOK_S", 0.2)
+
+    @with_bench(tmp_path)
+    async def _(bench):
+        bench.node.offer(Offer(b"m1", "pay", 7, 6000.0, b"hello"), bench.answers.put_nowait)
+        assert await bench.answers.get() == TAKEN
+        while bench.partner.connections == 0:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.05)
+        assert bench.partner.requests.empty(), "its last byte was to wait longer than that"
+        assert not Journal(tmp_path / "state", 3e6, writable=False).live[1].out
+        await bench.partner.next()
+        assert Journal(tmp_path / "state", 3e6, writable=False).live[1].out
+
+
 def test_a_message_that_is_cancelled_while_its_last_byte_is_held_back_is_not_in_the_call(monkeypatch):
     monkeypatch.setattr(connection, "LOOK_S", 0.1)
 
