--- a/lab/processes.py
+++ b/lab/processes.py
@@ -22,6 +22,11 @@
 )  # from SIGTERM to SIGKILL, and from there to the next start, as the platform has it
 
 
+def ignore_reloads() -> None:
+    """What the command of the deploy file does before it starts the program."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 class Dispatcher:
     """One dispatcher's process, its folder and its configuration."""
 
@@ -88,6 +93,7 @@
             cwd=ROOT,
             env=env,
             stderr=asyncio.subprocess.PIPE,
+            preexec_fn=ignore_reloads,
         )
         self.reading = asyncio.get_running_loop().create_task(self.read(self.process))
 
--- a/rushhitch/__main__.py
+++ b/rushhitch/__main__.py
@@ -5,15 +5,19 @@
 import os
 import sys
 
-from rushhitch.process import run
-from rushhitch.service import configuration_in_force, serve
+from rushhitch import signals
 
 
 def main() -> int:
+    """Run what the command line asks for. Signals are heard before the rest is imported, which takes long."""
     if sys.argv[1:]:
         from rushhitch.cli import main as command  # only a command line needs it
 
         return command(sys.argv[1:])
+    signals.listen()
+    from rushhitch.process import run
+    from rushhitch.service import configuration_in_force, serve
+
     return run(lambda: serve(configuration_in_force(os.environ)))
 
 
--- a/rushhitch/process.py
+++ b/rushhitch/process.py
@@ -11,6 +11,7 @@
 
 from logfmter import Logfmter
 
+from rushhitch import signals
 from rushhitch.config.own import BadOwn, read_own
 from rushhitch.config.platform import BadConfiguration
 
@@ -65,7 +66,10 @@
         own = read_own(os.environ)
         logging.getLogger("rushhitch").setLevel(own.log.upper())
         with asyncio.Runner(loop_factory=loop_factory(own.loop)) as runner:
-            runner.run(work())
+            try:
+                runner.run(work())
+            finally:
+                signals.detach()
     except (BadConfiguration, BadOwn) as error:
         print(f"rushhitch: {error}", file=sys.stderr)
         return 2
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -17,6 +17,7 @@
 
 from crowpier import Dispatcher
 from crowpier.interface import Outcome, Settings
+from rushhitch import signals
 from rushhitch.config.history import History, lacking
 from rushhitch.config.own import MODES, Own
 from rushhitch.config.platform import (
@@ -78,8 +79,12 @@
     loop = asyncio.get_running_loop()
     stop, changed = asyncio.Event(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, changed.set)
+        signals.attach(number, lambda: loop.call_soon_threadsafe(stop.set))
+    signals.attach(signal.SIGHUP, lambda: loop.call_soon_threadsafe(changed.set))
+    await asyncio.sleep(0)  # what came before is heard before anything is owed
+    if stop.is_set():
+        log.info("%s ends before it has begun", configuration.name)
+        return
     desk = Desk()
     control = await open_control(desk, configuration)
     takeover = Takeover(configuration, desk.promised)
--- a/tests/test_signals_at_start.py
+++ b/tests/test_signals_at_start.py
@@ -5,7 +5,9 @@
 import sys
 import tomllib
 
-from doubles import ROOT, Program
+import pytest
+from doubles import ROOT, Program, playing
+from test_request_lifecycle import sent_within
 
 MOMENTS_S = (0.0, 0.005, 0.02, 0.04, 0.06, 0.08, 0.1, 0.15, 0.2, 0.3)
 
@@ -35,3 +37,49 @@
             await asyncio.wait_for(one(at), 30.0)
 
     asyncio.run(work())
+
+
+def test_a_configuration_that_changes_during_the_start_is_in_force_afterwards(tmp_path):
+    # The signal comes as soon as the file has been read the first time: whatever it read, the new one counts.
+    @playing(Program(tmp_path), started=False)
+    async def _(program):
+        for at in (0.1, 0.15, 0.2, 0.25, 0.3, 0.35):
+            process = await program.spawn("/bin/sh", "-c", command())
+            await asyncio.sleep(at)
+            new = await program.move_discovery()
+            process.send_signal(signal.SIGHUP)
+            await program.serves()
+            watch = await asyncio.wait_for(new.next(), 10.0)
+            assert watch.target.startswith("/discovery/hosts")
+            await program.kill()
+
+
+@pytest.mark.parametrize(
+    "series",
+    [
+        (signal.SIGTERM,),
+        (signal.SIGHUP, signal.SIGTERM),
+        (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP),
+    ],
+    ids=lambda series: "-".join(number.name for number in series),
+)
+def test_a_process_that_is_told_to_end_as_it_starts_leaves_what_it_found(tmp_path, series):
+    # The message waits for a partner that is not there; each start in between is told to end at its moment.
+    @playing(Program(tmp_path), started=False)
+    async def _(program):
+        program.partner.stop()
+        await program.start()
+        client = await program.client()
+        assert await client.add(b"m1", "pay", 24000) == b"+OK\r\n"
+        await program.kill()
+        for at in MOMENTS_S[1::3]:
+            process = await program.spawn("/bin/sh", "-c", command())
+            await asyncio.sleep(at)
+            for number in series:
+                if process.returncode is None:
+                    process.send_signal(number)
+                    await asyncio.sleep(0.005)
+            assert await asyncio.wait_for(process.wait(), 3.7) in (0, -signal.SIGTERM)
+        await program.partner.start(program.partner.address[1])
+        await program.start()
+        assert await sent_within(program, 3.0) == [b"m1"]
