--- a/lab/clients.py
+++ b/lab/clients.py
@@ -9,7 +9,7 @@
 import socket
 import zlib
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from typing import Any
@@ -97,7 +97,8 @@
             ask, self.ask = self.ask, None
             if self.timer is not None:
                 self.timer.cancel()
-            self.clients.unanswered(self.id, ask, self.dispatcher, "closed")
+            how = "closed" if error is None else "reset"
+            self.clients.unanswered(self.id, ask, self.dispatcher, how)
 
 
 class Clients:
@@ -124,6 +125,7 @@
         self.unheard: set[str] = set()  # ids handed in, to which no answer has come yet
         self.due_again = 0  # messages that are handed in once more when a rest is over
         self.tasks: set[asyncio.Task[None]] = set()
+        self.taken: Callable[[str], None] = lambda dispatcher: None  # hears of each acceptance as it is read
 
     def serves(self, dispatcher: str, port: int | None, event_port: int = 0) -> None:
         """The front has noticed that a dispatcher is up, or (None) that it is not."""
@@ -210,6 +212,7 @@
         kind, wait = "error", 0.0
         if answer[:1] in (b"+", b"$"):
             kind = "ok"
+            self.taken(connection.dispatcher)
             self.out[name] = ask
         elif answer.startswith(b"-BUSY"):
             kind, wait = "busy", float(answer[5:] or 0)
--- a/lab/history.py
+++ b/lab/history.py
@@ -6,7 +6,7 @@
 | --- | --- |
 | `endpoint` | endpoint, dest, lane (what shares a limit and waits), zone, per_s (calls a second it takes) |
 | `offer` | id, origin and first (see `lab.clients`), cls, dest, key, left_ms, crc (of the body), dispatcher |
-| `answer` | id, answer (`ok`, `busy`, `error`, `none` in time, `closed` without one), wait_ms |
+| `answer` | id, answer (`ok`, `busy`, `error`, `none` in time, `closed` or `reset` without one), wait_ms |
 | `call` | call (a number), endpoint, dispatcher, ids, crcs, began_ms (its first byte); `at` is its last |
 | `reply` | call, ends (by id, see `NEVER_RAN`), wait_ms |
 | `gone` | call: the dispatcher closed the connection before its reply |
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import os
 import signal
 import sys
@@ -22,6 +23,9 @@
 )  # from SIGTERM to SIGKILL, and from there to the next start, as the platform has it
 
 
+SignalSeries = list[tuple[float, int]]  # seconds behind the one before, and the signal
+
+
 def ignore_reloads() -> None:
     """What the command of the deploy file does before it starts the program."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -42,6 +46,7 @@
         self.clock = folder / "clock"  # holds the seconds by which its wall clock is stepped, if any
         self.behind = folder / "kill_behind"  # holds which of its answers it is killed behind, if any
         self.kill_at = folder / "kill_at"  # holds at which of its system calls it is killed, if any
+        self.answers_left = 0  # acceptances until it is killed from outside
         self.dies_behind = False  # a fault of the scenario does that
         self.dies_at_calls = False  # likewise at its system calls
         self.steps_clock = False  # a fault of the scenario does
@@ -170,34 +175,83 @@
         if self.reading is not None:
             await self.reading
 
+    async def kill_outside(self, nth: int) -> None:
+        """SIGKILL from this process as the n-th acceptance from now on is read, or after a while."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        self.wanted = False
+        self.answers_left = nth
+        await self.ended_by(BEHIND_S)
+        self.answers_left = 0
+
+    def taken(self) -> None:
+        """A client reads that its message is accepted."""
+        self.answers_left -= 1
+        if self.answers_left == 0 and self.process is not None and self.process.returncode is None:
+            self.history.add("stopping", dispatcher=self.name)
+            self.process.kill()
+
     async def kill(self) -> None:
         """SIGKILL."""
         if self.process is not None and self.process.returncode is None:
             self.wanted = False
             self.history.add("stopping", dispatcher=self.name)
             self.process.kill()
-            await self.process.wait()
-            if self.reading is not None:
-                await self.reading
+            await self.ended_by(READY_S)
 
-    async def restart(self) -> None:
-        """A planned restart."""
-        if self.process is None or self.process.returncode is not None:
-            return
-        self.wanted = False
-        self.history.add("stopping", dispatcher=self.name)
-        self.process.send_signal(signal.SIGTERM)
+    async def ended_by(self, seconds: float) -> None:
+        """Until the process has ended; it is killed where that takes longer."""
+        assert self.process is not None, "it was started"
         try:
-            async with asyncio.timeout(TERM_S):
+            async with asyncio.timeout(seconds):
                 await self.process.wait()
         except TimeoutError:
             self.process.kill()
             await self.process.wait()
         if self.reading is not None:
             await self.reading
+
+    async def restart(self) -> None:
+        """A planned restart."""
+        await self.signals([(0.0, signal.SIGTERM)], [])
+
+    async def signals(self, series: SignalSeries, at_start: SignalSeries) -> None:
+        """Signals in series, each so many seconds behind the one before. With SIGTERM among them it is a
+        planned restart: SIGKILL at the earliest moment, and then signals at a start that is not ready."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        self.wanted = all(number != signal.SIGTERM for _, number in series)
+        ends_at = math.inf
+        loop = asyncio.get_running_loop()
+        for gap_s, number in series:
+            await asyncio.sleep(gap_s)
+            if number == signal.SIGTERM and ends_at == math.inf:
+                ends_at = loop.time() + TERM_S
+                self.history.add("stopping", dispatcher=self.name)
+            if self.process.returncode is None:
+                self.process.send_signal(number)
+        if ends_at == math.inf:
+            return
+        await self.ended_by(max(ends_at - loop.time(), 0.0))
+        if at_start:
+            await asyncio.sleep(AGAIN_S)
+            await self.disturbed_start(at_start)
         await asyncio.sleep(AGAIN_S)
         await self.start()
 
+    async def disturbed_start(self, series: SignalSeries) -> None:
+        """A start that is told to end, or to read its configuration again, before it serves."""
+        await self.spawn()
+        self.wanted = False
+        assert self.process is not None, "it was spawned"
+        for gap_s, number in series:
+            await asyncio.sleep(gap_s)
+            if self.process.returncode is None:
+                self.process.send_signal(number)
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        await self.ended_by(TERM_S)
+
     def reload(self, **changes: Any) -> None:
         """A new configuration file, and SIGHUP."""
         self.config |= changes
--- a/lab/rude_clients.py
+++ b/lab/rude_clients.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import random
 import socket
@@ -19,6 +20,9 @@
 GIVE_UP_S = (0.0, 0.03)  # from a request to the end of the connection
 BURST = (2, 12)  # requests at once
 BURST_S = 2.0  # for so long each of their answers is waited for
+KEEP_S = 6.0  # a connection is used for so long: past a planned restart
+PAUSE_S = (0.0, 0.15)  # between its requests
+CROWD_REST_S = 0.02  # before another one comes, where there is no room
 LINGER_NONE = struct.pack("ii", 1, 0)  # a close resets
 
 
@@ -38,6 +42,7 @@
             self.pieces,
             self.burst,
             self.give_up,
+            self.keep,
         ]
 
     async def run(self, per_s: float, seconds: float) -> None:
@@ -142,6 +147,47 @@
         await self.answer(name, reader, self.chance.uniform(*GIVE_UP_S))
         writer.close()
 
+    async def keep(self, dispatcher: str, port: int) -> None:
+        """Use one connection again and again, whatever happens to the dispatcher, until it ends."""
+        reader, writer = await self.connect(port)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + KEEP_S
+        while loop.time() < until and not reader.at_eof():
+            name, data, offer = self.request(dispatcher)
+            self.offered(offer)
+            try:
+                writer.write(data)
+                if await self.answer(name, reader) not in ("ok", "busy"):
+                    break
+            except OSError:
+                break
+            await asyncio.sleep(self.chance.uniform(*PAUSE_S))
+        writer.close()
+
+
+class Crowd:
+    """Idle clients that fill a dispatcher's descriptors, for as long as it lets them."""
+
+    def __init__(self, clients: Clients, dispatcher: str, size: int) -> None:
+        self.clients, self.dispatcher, self.size = clients, dispatcher, size
+
+    async def run(self, seconds: float) -> None:
+        end = asyncio.get_running_loop().time() + seconds
+        held: list[asyncio.StreamWriter] = []
+        try:
+            while asyncio.get_running_loop().time() < end:
+                held = [writer for writer in held if not writer.transport.is_closing()]
+                port = self.clients.ports.get(self.dispatcher)
+                if port is not None and len(held) < self.size:
+                    with contextlib.suppress(OSError, TimeoutError):
+                        opened = asyncio.open_connection("127.0.0.1", port)
+                        held.append((await asyncio.wait_for(opened, ANSWER_S))[1])
+                        continue
+                await asyncio.sleep(CROWD_REST_S)
+        finally:
+            for writer in held:
+                writer.transport.abort()
+
 
 def kind_of(line: bytes) -> str:
     """An answer as the history has it."""
--- a/lab/rules.py
+++ b/lab/rules.py
@@ -22,6 +22,8 @@
 SEEN_SHARE = 2 / 3  # of the load that pushed a returning destination over: from those that saw its outage
 CHANCE_CALLS = 2.0  # a window on a returning destination may hold so many more, by chance
 
+UNHEARD = ("busy", "error", "closed", "reset")  # answers behind which a client may hand its message in anew
+
 GRANTS = {  # by constant: the page, and its sentence
     "LOST_SLACK_MS": "protocol: neither delivered nor ended by a notice 300 ms after its time is up is lost",
     "RESTART_MS": "protocol: until 1.5 s after the dispatcher is ready again, no notice is overdue",
@@ -251,7 +253,7 @@
     handed the message in anew. A client that waited in vain is another matter: what is sent under its old id
     counts for nothing."""
     for name, answer in seen.answers.items():
-        if answer["answer"] not in ("busy", "error", "closed"):
+        if answer["answer"] not in UNHEARD:
             continue
         for call in seen.by_id[name]:
             text = f"sent at {call.at:.0f} ms, and its client's answer at {answer['at']:.0f} ms"
--- a/lab/run.py
+++ b/lab/run.py
@@ -28,7 +28,7 @@
 from lab.membership_rules import Broken as MemberBroken
 from lab.membership_rules import check as check_members
 from lab.partners import Lane, Partners, Spec
-from lab.processes import Dispatcher, PlannerProcess
+from lab.processes import Dispatcher, PlannerProcess, SignalSeries
 from lab.rules import Broken, check
 from lab.scenario import Fault, Scenario
 from lab.ways import Way, WayFaults
@@ -158,6 +158,7 @@
             dispatcher.known = self.directory.known
             dispatcher.words = ("forward",) if self.planners else ()
             self.dispatchers[name] = dispatcher
+        self.clients.taken = lambda name: self.dispatchers[name].taken()
         await side_by_side(dispatcher.start() for dispatcher in self.dispatchers.values())
         if self.scenario.guests:
             for name, dispatcher in self.dispatchers.items():
@@ -381,7 +382,7 @@
     async def fault(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at)
         begin, end = getattr(self, "begin_" + fault.what), getattr(self, "end_" + fault.what, None)
-        if fault.what in ("kill", "kill_behind", "restart"):
+        if fault.what in ("kill", "kill_behind", "kill_outside", "restart", "signals"):
             await begin(fault)
             return
         begun = begin(fault)
@@ -546,6 +547,26 @@
             await asyncio.sleep(fault.seconds if fault.seconds < math.inf else START_S)
             await dispatcher.start()
 
+    async def begin_kill_outside(self, fault: Fault) -> None:
+        """SIGKILL from here, as the `factor`-th acceptance from now on is read."""
+        dispatcher = self.dispatchers[fault.on]
+        async with dispatcher.turn:
+            await dispatcher.kill_outside(int(fault.factor))
+            await asyncio.sleep(fault.seconds if fault.seconds < math.inf else START_S)
+            await dispatcher.start()
+
+    async def begin_signals(self, fault: Fault) -> None:
+        """SIGHUP and SIGTERM in series by chance, also at the start behind them."""
+        chance = random.Random(f"signals {self.scenario.seed} {fault.at}")
+        kinds = (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM)
+
+        def series(most_s: float) -> SignalSeries:
+            count = chance.randint(2, 5)
+            return [(chance.uniform(0.0, most_s), int(chance.choice(kinds))) for _ in range(count)]
+
+        async with self.dispatchers[fault.on].turn:
+            await self.dispatchers[fault.on].signals(series(0.4), series(0.15))
+
     def begin_clock(self, fault: Fault) -> None:
         self.dispatchers[fault.on].clock.write_text(str(fault.step_s))
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -49,6 +49,9 @@
     "move": "the directory moves to another address: a new configuration and SIGHUP",
     "kill": "SIGKILL to a dispatcher, which starts again after `seconds`",
     "kill_behind": "the same in the step of its `factor`-th answer that accepts a message, 2 s later at most",
+    "kill_outside": "the same from the lab's process, as it reads that answer",
+    "signals": "SIGHUP and SIGTERM in series; with the latter SIGKILL 3.7 s behind the first, and a start"
+    " that gets signals before it serves",
     "restart": "SIGTERM, SIGKILL 3.7 s later at the latest, and a start 0.6 s after",
     "upgrade": "a second process is started beside a dispatcher, and once it says yes the first gets SIGTERM",
     "detach": "operators take an endpoint out at all dispatchers, and give it back after `seconds`",
@@ -70,6 +73,8 @@
 ON_DISPATCHERS = (
     "kill",
     "kill_behind",
+    "kill_outside",
+    "signals",
     "restart",
     "upgrade",
     "reload",
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from lab.partners import Spec
-from lab.rude_clients import RudeClients
+from lab.rude_clients import Crowd, RudeClients
 from lab.run import Played, Run
 from lab.scenario import ClassSpec, Fault, Scenario
 
@@ -25,9 +25,13 @@
 FIRST_S = 0.7  # before it all works
 LOAD_PER_S = 7.0  # messages a second for each dispatcher
 RUDE_PER_S = 1.5  # bad clients a second for each dispatcher
+CROWDED_SHARE = 0.3  # of the runs have a crowd
+CROWDED, CROWDED_SOCKETS = 3, 160  # so many dispatchers of these, with so few descriptors
 ALWAYS = (
     "kill",
     "kill_behind",
+    "kill_outside",
+    "signals",
     "restart",
     "pause",
     "stall",
@@ -110,9 +114,9 @@
             return Fault(at, "pause", on, chance.choice((0.05, 0.1, 0.15)))
         case "stall":  # stopped while it is told to end
             return Fault(at, "pause", on, chance.uniform(0.05, 0.15))
-        case "kill_behind":
+        case "kill_behind" | "kill_outside":
             return Fault(at, what, on, chance.uniform(0.3, 1.0), factor=float(chance.randint(1, 6)))
-        case "kill" | "restart" | "upgrade":
+        case "kill" | "restart" | "upgrade" | "signals":
             return Fault(at, what, on, chance.uniform(0.3, 1.0))
         case "disk" | "disk_error" | "reload":
             return Fault(at, what, on, chance.uniform(0.2, 2.0), factor=chance.choice((0.5, 1.0)))
@@ -166,6 +170,7 @@
         sync=soak.sync,
         retries=1,
         copies=chance.random() < 0.5,
+        sockets=CROWDED_SOCKETS if chance.random() < CROWDED_SHARE else 1024,
     ).check()
 
 
@@ -178,6 +183,9 @@
         kinds = [(spec.dest, name, deadlines[name]) for spec in self.scenario.partners for name in deadlines]
         rude = RudeClients(self.clients, self.history, self.scenario.seed, kinds)
         self.spawn(rude.run(RUDE_PER_S * self.scenario.dispatchers, self.scenario.seconds))
+        if self.scenario.sockets == CROWDED_SOCKETS:
+            for name in self.names[:CROWDED]:
+                self.spawn(Crowd(self.clients, name, CROWDED_SOCKETS).run(self.scenario.seconds))
 
 
 def play(soak: Soak, folder: Path | None, progress: Callable[[str], None]) -> Played:
