--- a/lab/kills.py
+++ b/lab/kills.py
@@ -22,11 +22,12 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import Enum
 from pathlib import Path
 
 from lab.history import ACCEPTED, Event
 from lab.partners import Spec
-from lab.processes import Dispatcher
+from lab.processes import READY_S, TERM_S, Dispatcher
 from lab.rules import Broken
 from lab.run import SETTLE_S, Played, Run
 from lab.scenario import ClassSpec, Scenario
@@ -39,6 +40,15 @@
 HOWS = ("before", "after")
 
 
+class Script(Enum):
+    """What happens in the life that is killed at a system call."""
+
+    BURST = "a burst is handed in"
+    TERM = "a burst has been handed in, and the process is told to end"
+    RELOAD = "a burst is handed in as the configuration is read again"
+    HANDOVER = "a burst is handed in as another process takes over; both are killed there"
+
+
 @dataclass(frozen=True, slots=True)
 class KillPoint:
     """The n-th system call of a process, counted from `armed` on, and on which side of it the kill falls."""
@@ -214,35 +224,84 @@
             await dispatcher.start()
             await asyncio.sleep(LIVES_S)
 
-    async def die_at(self, dispatcher: Dispatcher, points: Iterable[KillPoint], count: int) -> list[bool]:
-        """One life for each point: the first takes a burst and is killed there, the others are killed as they
-        go on with what it left. Whether each point was reached. A last life brings all to its end."""
+    async def die_at(
+        self, dispatcher: Dispatcher, points: Iterable[KillPoint], script: Script, count: int
+    ) -> list[bool]:
+        """One life for each point: the first goes by the script and is killed there, the others are killed as
+        they go on with what it left. Whether each point was reached. A last life brings all to its end."""
         reached = []
         for life, point in enumerate(points):
-            dispatcher.kill_at.write_text(str(point))
             dispatcher.wanted = False
             if life == 0:
-                await self.burst(dispatcher, count)
+                reached.append(await self.play_script(dispatcher, point, script, count))
             else:
+                dispatcher.kill_at.write_text(str(point))
                 await self.try_start(dispatcher)
-            reached.append(await self.dies(dispatcher))
+                reached.append(await self.dies(dispatcher))
             dispatcher.kill_at.unlink()
         await dispatcher.start()
         return reached
 
+    async def play_script(self, dispatcher: Dispatcher, point: KillPoint, script: Script, count: int) -> bool:
+        """The first life. Whether it was killed at the point."""
+        assert dispatcher.process is not None, "it was started"
+        match script:
+            case Script.TERM:
+                await self.burst(dispatcher, count)
+                dispatcher.kill_at.write_text(str(point))
+                self.history.add("stopping", dispatcher=dispatcher.name)
+                dispatcher.process.send_signal(signal.SIGTERM)
+                return await self.dies(dispatcher, TERM_S)
+            case Script.RELOAD:
+                dispatcher.kill_at.write_text(str(point))
+                dispatcher.process.send_signal(signal.SIGHUP)
+            case Script.HANDOVER:
+                return await self.hand_over(dispatcher, point, count)
+            case Script.BURST:
+                dispatcher.kill_at.write_text(str(point))
+        await self.burst(dispatcher, count)
+        return await self.dies(dispatcher)
+
+    async def hand_over(self, dispatcher: Dispatcher, point: KillPoint, count: int) -> bool:
+        """Another process takes over from the first under a burst; each dies as it reaches the point."""
+        old, reading = dispatcher.process, dispatcher.reading
+        assert old is not None and reading is not None, "it was started"
+        dispatcher.control = 0
+        await dispatcher.spawn()
+        dispatcher.wanted = False
+        async with asyncio.timeout(READY_S):
+            while not dispatcher.control or await dispatcher.say("PING") != "ACK":
+                await asyncio.sleep(0.01)
+        dispatcher.kill_at.write_text(str(point))
+        burst = asyncio.create_task(self.burst(dispatcher, count))
+        await asyncio.sleep(0.005)
+        old.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(DIES_S):
+                await old.wait()
+        except TimeoutError:
+            old.kill()
+            await old.wait()
+        if old.returncode == -signal.SIGKILL:
+            self.history.add("ended", dispatcher=dispatcher.name, kill=True)
+        await burst
+        await reading
+        reached = await self.dies(dispatcher)
+        return reached or old.returncode == -signal.SIGKILL
+
     async def try_start(self, dispatcher: Dispatcher) -> None:
         """Start it, and wait until it serves or is gone."""
         await dispatcher.spawn()
         dispatcher.wanted = False
         await dispatcher.ready.wait()
 
-    async def dies(self, dispatcher: Dispatcher) -> bool:
-        """Whether the process dies by itself in time; it is killed where not."""
+    async def dies(self, dispatcher: Dispatcher, within_s: float = DIES_S) -> bool:
+        """Whether the process is killed by itself in time; it is killed from here where not."""
         assert dispatcher.process is not None, "it was started"
         try:
-            async with asyncio.timeout(DIES_S):
+            async with asyncio.timeout(within_s):
                 await dispatcher.process.wait()
-            reached = True
+            reached = dispatcher.process.returncode == -signal.SIGKILL
         except TimeoutError:
             dispatcher.process.kill()
             reached = False
@@ -329,13 +388,16 @@
         return asyncio.run(work(Path(name)))
 
 
-def play_points(seed: int, plans: list[tuple[KillPoint, ...]], count: int = 6) -> tuple[Account, list[bool]]:
+def play_points(
+    seed: int, plans: list[tuple[KillPoint, ...]], script: Script = Script.BURST, count: int = 6
+) -> tuple[Account, list[bool]]:
     """One dispatcher for each plan, side by side; whether the last point of each plan was reached."""
 
     async def work(folder: Path) -> tuple[Account, list[bool]]:
         async with KillRun(scenario_of(seed, len(plans)), folder) as run:
             dispatchers = run.dispatchers.values()
-            lives = (run.die_at(held, plan, count) for held, plan in zip(dispatchers, plans, strict=True))
+            pairs = zip(dispatchers, plans, strict=True)
+            lives = (run.die_at(dispatcher, plan, script, count) for dispatcher, plan in pairs)
             reached = await asyncio.gather(*lives)
             return account(await run.settle(), run.kills), [each[-1] for each in reached]
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,8 @@
 
 LONG = (  # files of tests that start processes, or take seconds: they begin first, so that the end is short
     "test_lab_run.py",
+    "test_lab_soak.py",
+    "test_kill_points.py",
     "test_membership_cases.py",
     "test_membership_faults.py",
     "test_membership_processes.py",
--- a/tests/test_lab_soak.py
+++ b/tests/test_lab_soak.py
@@ -7,6 +7,8 @@
 from lab.scenario import WHATS
 from lab.soak import ALWAYS, EXTRA, Soak, scenario_of
 
+SEEDS, PROCESSES, SECONDS = (3, 17, 20, 24), 6, 9.0  # of the soaks that are played here
+
 
 def test_a_seed_is_one_scenario_and_another_seed_another():
     assert scenario_of(Soak(3)) == scenario_of(Soak(3)) != scenario_of(Soak(4))
@@ -24,8 +26,17 @@
     assert overlaps > len(scenario.faults)
 
 
-def test_a_short_soak_keeps_the_rules(tmp_path, capsys):
-    told = ["soak", "--seed", "5", "--processes", "6", "--seconds", "5", "--json", str(tmp_path / "told")]
+def test_the_seeds_of_the_short_soaks_have_kills_from_outside_signals_in_series_and_a_crowd():
+    scenarios = [scenario_of(Soak(seed, PROCESSES, SECONDS)) for seed in SEEDS]
+    whats = {fault.what for scenario in scenarios for fault in scenario.faults}
+    assert {"kill", "kill_behind", "kill_outside", "signals", "restart", "reload", "pause"} <= whats
+    assert {scenario.sockets for scenario in scenarios} == {1024, soak.CROWDED_SOCKETS}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_short_soak_keeps_the_rules(tmp_path, capsys, seed):
+    words = ("--seed", str(seed), "--processes", str(PROCESSES), "--seconds", f"{SECONDS:g}")
+    told = ["soak", *words, "--json", str(tmp_path / "told")]
     assert main(told) == 0, capsys.readouterr().out
     assert '"sound": true' in (tmp_path / "told").read_text()
 
