--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -523,6 +523,8 @@
                 writable = self.accept(message)
             if not message.over and message.answer is not None:
                 self.reject(message)
+        if self.journal.pending:  # ends of what was refused: a build before knows nothing of marks
+            self.commit()
         for endpoint, attempts in sends.items():
             wanted = []
             for attempt in attempts:
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -303,6 +303,7 @@
         await self.transfer.end_calls()
         await clients.read_out()
         clients.leave()
+        node.commit()
         held = len(self.journal.live)
         log.info(
             "%s ends, %d messages stay in the journal",
