An answer is noted right behind its system call, so that fewer kills fall between

Need: what is in doubt at a kill is returned with no call. Change: what an answer changes in its connection is done before the system call, or behind the mark.

--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -165,22 +165,23 @@
         system does not take the whole of the answer: then the client is refused or, where it had a part, sees
         its connection end."""
         assert self.sock is not None, "it is reachable"
+        slot.handles.clear()
+        self.heard_at = self.loop.time()
         try:
-            sent = self.sock.send(answer)
+            sent = self.sock.send(
+                answer
+            )  # as little as may be follows: until the core notes it, it is in doubt
         except BlockingIOError:
             self.reply(slot, self.turned_away())
             return False
         except OSError:
             sent = 0
+        self.slots.popleft()
         if sent < len(answer):
-            self.slots.remove(slot)
-            slot.handles.clear()
             self.end(Close.STUCK, abort=True)
             return False
-        slot.handles.clear()
-        self.heard_at = self.loop.time()
-        self.slots.popleft()
-        self.write_answers()
+        if self.slots or self.finishing:
+            self.write_answers()
         return True
 
     def write_answers(self) -> bool:
--- a/rushhitch/journal/store.py
+++ b/rushhitch/journal/store.py
@@ -192,11 +192,11 @@
     def answered(self, number: int) -> None:
         """The whole of that answer is in the system's hands. Without a word of it on the disk the message
         stays in doubt until the next answer."""
-        self.unaccepted.discard(number)
         try:
             self.answers.done(number)
         except OSError as error:
             log.error("the journal's answers cannot be written: %s", error)
+        self.unaccepted.discard(number)
 
     def note_whole(self, kept: Kept) -> None:
         """Note all that is known of a live message, in one record."""
