Tests that mean accepted messages wait for the mark of the last answer before a kill

Traced: 6 of 24 runs of that case side by side fail, each for the last message. Change: the tests' own kill, and this one, wait until the marks say that no answer is under way; kills right behind answers have their tests in test_kill_points and test_request_lifecycle.

--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import resource
@@ -16,9 +17,10 @@
 from test_benchlink import TOLD
 
 from lab.addresses import own_host
-from rushhitch.journal import Journal
+from rushhitch.journal import Journal, answers
 
 ROOT = Path(__file__).parent.parent
+NOTED_S = 2.0  # an answer is noted within microseconds, on a machine that is not crowded
 PATIENCE_S = 30.0  # generous: reached only where something is broken
 
 
@@ -105,6 +107,12 @@
 WORTH = {"lateWorth": 0.1, "value": 1.0}
 
 
+def noted(data: bytes) -> bool:
+    """Whether no answer is under way by the marks of that file."""
+    answered, answering = answers.MARKS.unpack_from(data, answers.MARKS_AT)
+    return answered == answering
+
+
 class Program:
     """The real program in a process of its own, with one partner and the platform as doubles."""
 
@@ -180,9 +188,20 @@
         raise AssertionError(f"the log ended without {part!r}: {self.log}")
 
     async def kill(self) -> None:
+        """SIGKILL, once the answers so far are noted: what is in doubt is not meant."""
+        await self.answers_noted()
         self.process.kill()
         await self.process.wait()
 
+    async def answers_noted(self) -> None:
+        """Until the journal tells of the last answer. A kill right behind it may leave its message in doubt
+        (`test_kill_points`, `test_request_lifecycle`)."""
+        marks = self.folder / "state" / answers.NAME
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(NOTED_S):
+                while marks.exists() and not noted(marks.read_bytes()):
+                    await asyncio.sleep(0.001)
+
     def journal(self) -> Journal:
         """What its journal tells, with nothing changed."""
         return Journal(self.folder / "state", float("inf"), writable=False)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -128,6 +128,7 @@
             assert await client.add(name, cls) == b"+OK\r\n"
         out = [await program.partner.next() for _ in range(3)]  # three quarters of four slots, one partner
         tried = {request.headers["x-correlation-id"].encode() for request in out}
+        await program.answers_noted()
         program.process.send_signal(end)
         await program.process.wait()
         program.most = 10
