Lab: one function names an answer, and a part of a line is none

Need: lab/kills.py had written kind_of again, stricter: a part of an answer counted as 'ok' to the rude clients. Change: one, the strict one.

--- a/lab/kills.py
+++ b/lab/kills.py
@@ -28,6 +28,7 @@
 from lab.history import ACCEPTED, Event
 from lab.partners import Spec
 from lab.processes import READY_S, TERM_S, Dispatcher, send_signal
+from lab.rude_clients import kind_of
 from lab.rules import Broken
 from lab.run import SETTLE_S, Played, Run
 from lab.scenario import ClassSpec, Scenario
@@ -331,15 +332,6 @@
         self.close()
 
 
-def kind_of(line: bytes) -> str:
-    """An answer as the history has it."""
-    if not line.endswith(b"\r\n"):
-        return "closed"
-    if line.startswith(b"+"):
-        return "ok"
-    return "busy" if line.startswith(b"-BUSY") else "error"
-
-
 def account(played: Played, kills: int) -> Account:
     """Count what the kills left."""
     events = played.history.events
--- a/lab/rude_clients.py
+++ b/lab/rude_clients.py
@@ -190,8 +190,8 @@
 
 
 def kind_of(line: bytes) -> str:
-    """An answer as the history has it."""
-    if not line:
+    """An answer as the history has it; a part of one is none."""
+    if not line.endswith(b"\r\n"):
         return "closed"
     if line.startswith(b"+"):
         return "ok"
