Log endpoint connections: serial, request number, unrequested bytes, reason of close

Cause of the gap: connections had no identity in the log, bytes behind an answer only kept a connection from being reused, in silence.

Each connection has a serial; at debug level each exchange is logged with it, the number of the request, ids and first line of the answer, and each close with its reason. Bytes that no request had asked for are logged at info level and counted ('unrequested' in 'under way').

--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import re
 import socket
 from collections.abc import Awaitable, Callable
@@ -14,6 +15,7 @@
 MAX_INTERIM_RESPONSES = 20  # 1xx, before the final response
 MIN_LAST_BYTE_DELAY_S, MAX_LAST_BYTE_DELAY_S = 0.002, 0.05  # watching for a close before the last byte
 DELAY_PER_CONNECT_TIME = 2.0  # lets the bytes reach the peer and a reset come back
+SERIALS = itertools.count(1)  # of the connections of this process, for the log
 INTERIM_STATUS_LINE = re.compile(rb"HTTP/1\.[01] 1")
 Headers = list[tuple[bytes, bytes]]
 
@@ -36,7 +38,8 @@
 
 class Connection:
     """Sends requests one at a time. `written` tells whether the last byte of the latest one was sent;
-    `response_start` holds the first bytes of its response, after any 1xx."""
+    `response_start` holds the first bytes of its response, after any 1xx. `serial` identifies the connection
+    in the log, `requests` counts those that were begun on it."""
 
     def __init__(self, sock: socket.socket, address: tuple[str, int], connect_s: float = 0.0) -> None:
         self.sock, self.address, self.http = sock, address, h11.Connection(h11.CLIENT)
@@ -44,6 +47,7 @@
             max(DELAY_PER_CONNECT_TIME * connect_s, MIN_LAST_BYTE_DELAY_S), MAX_LAST_BYTE_DELAY_S
         )
         self.loop = asyncio.get_running_loop()
+        self.serial, self.requests = next(SERIALS), 0
         self.written, self.response_start, self.interim_count = False, b"", 0
         self.on_response_start: Callable[[], None] | None = None  # called as the final response begins
 
@@ -80,6 +84,7 @@
         other code run in between.
         """
         self.written, self.response_start, self.interim_count = False, b"", 0
+        self.requests += 1
         headers = [(b"Host", "{}:{}".format(*self.address).encode()), *headers]
         if method == "POST":
             headers.append((b"Content-Length", b"%d" % len(body)))
@@ -193,13 +198,21 @@
 
     def has_no_input(self) -> bool:
         """Whether neither a close nor stray bytes arrived while the connection was idle."""
+        return self.peek() is None
+
+    def peek(self) -> bytes | None:
+        """The first bytes received and not yet read: empty if the peer closed the connection, None if nothing
+        came."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            return self.sock.recv(MAX_RESPONSE_START_BYTES, socket.MSG_PEEK)
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            pass
-        return False
+            return b""
+
+    def unrequested(self) -> bytes:
+        """The first bytes received behind the latest response, none if it was the last thing that came."""
+        return self.http.trailing_data[0][:MAX_RESPONSE_START_BYTES] or self.peek() or b""
 
     def close(self) -> None:
         self.sock.close()
--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -162,6 +162,7 @@
             "out": len(self.endpoints.calls),
             "notices": len(self.notices),
             "refused_effects": self.lifecycle.refused.total(),
+            "unrequested": self.endpoints.unrequested,
         }
 
     def note(self, event: api.Event) -> None:
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
+from enum import StrEnum
 
 import h11
 
@@ -30,6 +31,7 @@
 SHUTDOWN_READ_LIMIT_S = 0.05  # at shutdown: an endless answer is read no longer than this
 QUIET_LOOP_ITERATIONS = 3  # loop iterations until data read from a socket has reached its call
 IDLE_TIMEOUT_MARGIN = 0.1  # fraction of the idle timeout in which a connection is no longer reused
+MAX_LOGGED_BYTES = 80  # of received bytes, in a log line
 PLATFORM = Platform()
 DESCRIPTORS_EXHAUSTED = (errno.EMFILE, errno.ENFILE)
 
@@ -86,9 +88,27 @@
     connection: Connection | None = None  # once established
 
 
+class CloseReason(StrEnum):
+    """Why a connection to an endpoint is closed, for the log."""
+
+    BANNED = "banned"  # by operators, or another process continues
+    BROKEN = "broken"  # before its request was written
+    ENDED = "ended"  # its exchange cannot be followed by another
+    ENDPOINT_CHANGED = "endpoint changed"
+    EVICTED = "evicted"
+    FROZEN = "frozen"
+    IDLE = "idle"
+    INPUT = "input"  # closed by the endpoint, or unrequested bytes
+
+
 StartCallback = Callable[[list[Attempt]], None]  # called with the attempts of a call that may be written
 
 
+def first_line(data: bytes) -> str:
+    """The first line of received bytes, shortened, for the log."""
+    return data.partition(b"\r\n")[0][:MAX_LOGGED_BYTES].decode("latin-1")
+
+
 def start_by(attempts: list[Attempt]) -> float:
     """The latest time to start the call: the earliest start deadline of its attempts."""
     return min(attempt.start_by for attempt in attempts)
@@ -131,6 +151,7 @@
         self.frozen = False  # no call starts, another process continues
         self.held_back = 0  # calls must_not_start right before their last byte
         self.written = 0  # messages in calls that were written in full
+        self.unrequested = 0  # times that an endpoint sent something that no request had asked for
         self.tasks: set[asyncio.Task[None]] = set()
         self.idle_limit_s = settings.conn_idle_ms * (1.0 - IDLE_TIMEOUT_MARGIN) / 1000.0
 
@@ -140,7 +161,7 @@
         self.entries[endpoint] = entry
         if entry.state is not State.READY or (old is not None and old.address != entry.address):
             for idle in list(self.idle.get(endpoint, ())):
-                self.drop_idle(endpoint, idle)
+                self.drop_idle(endpoint, idle, CloseReason.ENDPOINT_CHANGED)
 
     def drain(self, endpoint: str) -> None:
         """Start no further call to the endpoint."""
@@ -151,13 +172,13 @@
         """The endpoint is no longer listed: close its idle connections; calls in flight continue."""
         if endpoint in self.entries:
             self.entries[endpoint] = replace(self.entries[endpoint], state=State.GONE)
-            self.close_idle(endpoint)
+            self.close_idle(endpoint, CloseReason.ENDPOINT_CHANGED)
             self.forget(endpoint)
 
     def ban(self, endpoint: str) -> None:
         """Start no call there until `unban`; calls in flight continue."""
         self.banned.add(endpoint)
-        self.close_idle(endpoint)
+        self.close_idle(endpoint, CloseReason.BANNED)
 
     def unban(self, endpoint: str) -> None:
         self.banned.discard(endpoint)
@@ -175,7 +196,7 @@
         if called_back:
             await asyncio.wait(called_back)
         for endpoint in list(self.idle):
-            self.close_idle(endpoint)
+            self.close_idle(endpoint, CloseReason.FROZEN)
 
     async def finish_calls(self) -> None:
         """Before the process ends: read the answers that have already arrived, complete or in part, then end
@@ -212,14 +233,16 @@
             if idled < self.idle_limit_s and connection.has_no_input():
                 self.remove_idle(endpoint, idle[-1])
                 return connection, idled
-            self.drop_idle(endpoint, idle[-1])
+            self.drop_idle(
+                endpoint, idle[-1], CloseReason.IDLE if idled >= self.idle_limit_s else CloseReason.INPUT
+            )
         return None
 
     def release(self, endpoint: str, connection: Connection) -> None:
         """Keep the connection idle for reuse, or close it if the endpoint takes no further calls."""
         now = self.loop.time()
         while (idle := self.idle.get(endpoint)) and now - idle[0][1] >= self.idle_limit_s:
-            self.drop_idle(endpoint, idle[0])
+            self.drop_idle(endpoint, idle[0], CloseReason.IDLE)
         listed = self.entries.get(endpoint)
         blocked = self.frozen or endpoint in self.banned
         if (
@@ -228,11 +251,11 @@
             or listed.state is not State.READY
             or listed.address != connection.address
         ):
-            self.close(connection)
+            self.close(endpoint, connection, CloseReason.BANNED if blocked else CloseReason.ENDPOINT_CHANGED)
             return
         entry = (connection, now)
         self.idle.setdefault(endpoint, []).append(entry)
-        self.loop.add_reader(connection.sock, self.drop_idle, endpoint, entry)
+        self.loop.add_reader(connection.sock, self.drop_idle, endpoint, entry, CloseReason.INPUT)
 
     def remove_idle(self, endpoint: str, entry: tuple[Connection, float]) -> None:
         self.loop.remove_reader(entry[0].sock)
@@ -240,20 +263,37 @@
         if not self.idle[endpoint]:
             del self.idle[endpoint]
 
-    def drop_idle(self, endpoint: str, entry: tuple[Connection, float]) -> None:
-        """Close an idle connection that is too old, or whose peer closed it or sent unsolicited data."""
+    def drop_idle(self, endpoint: str, entry: tuple[Connection, float], reason: CloseReason) -> None:
+        """Close an idle connection that is too old, or whose peer closed it or sent unrequested bytes."""
         self.remove_idle(endpoint, entry)
-        self.close(entry[0])
+        if reason is CloseReason.INPUT and (data := entry[0].unrequested()):
+            self.log_unrequested(endpoint, entry[0], data)
+        self.close(endpoint, entry[0], reason)
         self.dropped(endpoint)
 
-    def close_idle(self, endpoint: str) -> None:
+    def log_unrequested(self, endpoint: str, connection: Connection, data: bytes) -> None:
+        """Count and log bytes that an endpoint sent although no request was out on the connection."""
+        self.unrequested += 1
+        log.info(
+            "unrequested bytes from an endpoint",
+            extra=self.fields(endpoint, connection) | {"first_line": first_line(data)},
+        )
+
+    @staticmethod
+    def fields(endpoint: str, connection: Connection) -> dict[str, object]:
+        """Log fields: the endpoint, the connection, and the number of its latest request."""
+        return {"endpoint": endpoint, "connection": connection.serial, "request": connection.requests}
+
+    def close_idle(self, endpoint: str, reason: CloseReason = CloseReason.IDLE) -> None:
         for entry in list(self.idle.get(endpoint, ())):
             self.remove_idle(endpoint, entry)
-            self.close(entry[0])
+            self.close(endpoint, entry[0], reason)
 
-    def close(self, connection: Connection) -> None:
+    def close(self, endpoint: str, connection: Connection, reason: CloseReason) -> None:
         connection.close()
         self.connections -= 1
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug("connection closed", extra=self.fields(endpoint, connection) | {"reason": reason})
 
     async def connect(self, endpoint: str) -> Connection:
         if self.connections >= self.max_connections:
@@ -277,7 +317,7 @@
         if not self.idle:
             raise NoConnectionAvailable(why)
         longest = min(self.idle, key=lambda name: self.idle[name][0][1])
-        self.drop_idle(longest, self.idle[longest][0])
+        self.drop_idle(longest, self.idle[longest][0], CloseReason.EVICTED)
 
     # Calls
 
@@ -367,7 +407,8 @@
                     except OSError:
                         if not call.idled_ms:
                             raise
-                        self.close(connection)  # the idle connection was dead: retry on another
+                        # The idle connection was dead: retry on another.
+                        self.close(call.endpoint, connection, CloseReason.BROKEN)
                         self.dropped(call.endpoint)
                         connection = None
                 else:
@@ -422,10 +463,26 @@
         connection.on_response_start = None
         unused = broken is Outcome.NOT_EXECUTED and not call.aborted  # an aborted call may be partly written
         call.kept = connection.prepare_next_request() if connection.written else unused
+        self.log_exchange(connection, call, broken)
         if call.kept:
             self.release(call.endpoint, connection)
-        else:
-            self.close(connection)
+            return
+        if data := connection.http.trailing_data[0]:
+            self.log_unrequested(call.endpoint, connection, data)
+        self.close(call.endpoint, connection, CloseReason.ENDED)
+
+    def log_exchange(self, connection: Connection, call: Call, broken: Outcome) -> None:
+        """Log a request with its connection and the start of its answer, at debug level."""
+        if not log.isEnabledFor(logging.DEBUG):
+            return
+        fields = {
+            "ids": b",".join(call.ids).decode("latin-1"),
+            "took_ms": round((self.loop.time() - call.started) * 1000.0),
+            "written": connection.written,
+            "answer": first_line(connection.response_start) or broken.name.lower(),
+            "kept": call.kept,
+        }
+        log.debug("exchange ended", extra=self.fields(call.endpoint, connection) | fields)
 
     @staticmethod
     def broken_call_end(connection: Connection | None, call: Call, broken: Outcome) -> AttemptResult:
