--- a/lab/directory.py
+++ b/lab/directory.py
@@ -10,8 +10,10 @@
 
 from lab.history import History
 from lab.http import HttpConnection, Request, port_of, serve
+from lab.repeats import Repeats
 
 MOVED_S = 1.5  # after a move, until the connections to the old address are closed
+NOTICE_ANSWER_S = 0.01  # until notices are answered
 EMPTY_S = 2.0  # between two lines of a watch on which nothing changes
 
 
@@ -24,6 +26,7 @@
         address: Callable[[str, str], str],
         history: History,
         heard: Callable[[dict[str, Any]], None],
+        seed: int = 0,
     ) -> None:
         self.dispatchers, self.address, self.history, self.heard = dispatchers, address, history, heard
         self.version = 1
@@ -37,6 +40,10 @@
         self.told: dict[str, dict[str, dict[str, Any]]] = {name: {} for name in dispatchers}  # by each
         self.loop = asyncio.get_running_loop()
         self.chance = random.Random("directory")
+        self.refuse_notices = 0.0  # share of the requests with notices that are answered 503, unheard
+        self.repeated_answers = Repeats(random.Random(f"repeated answers to notices {seed}"))
+        self.repeated_lines = Repeats(random.Random(f"repeated lines {seed}"), ways=("later", "split"))
+        self.former: dict[HttpConnection, bytes] = {}  # the newest line of each watch
 
     async def start(self) -> Directory:
         for name in self.dispatchers:
@@ -47,6 +54,7 @@
     def maker(self, dispatcher: str) -> Callable[[], HttpConnection]:
         def lost(connection: HttpConnection) -> None:
             self.watches.pop(connection, None)
+            self.former.pop(connection, None)
             self.connections.discard(connection)
 
         def made(connection: HttpConnection) -> None:
@@ -94,7 +102,11 @@
     ) -> None:
         told = [row | {"addr": self.address(row["id"], dispatcher)} for row in rows]
         text = json.dumps({"version": version, "full": full, "servers": told}).encode() + b"\n"
-        connection.transport.write(b"%x\r\n%s\r\n" % (len(text), text))
+        chunk = b"%x\r\n%s\r\n" % (len(text), text)
+        connection.transport.write(chunk)
+        before, self.former[connection] = self.former.get(connection), chunk
+        if before is not None and self.repeated_lines.draw() is not None:
+            self.loop.call_later(self.repeated_lines.later_s(), self.line_again, connection, before)
         held = self.told[dispatcher]
         if full:
             held.clear()
@@ -104,6 +116,12 @@
                 del held[row["id"]]
             self.history.add("told", dispatcher=dispatcher, endpoint=row["id"], state=row["state"])
 
+    @staticmethod
+    def line_again(connection: HttpConnection, chunk: bytes) -> None:
+        """An older line comes behind a newer one. It tells nobody anything: the newer one holds."""
+        if not connection.transport.is_closing():
+            connection.transport.write(chunk)
+
     def beat(self) -> None:
         for connection in list(self.watches):
             connection.transport.write(b"1\r\n\n\r\n")
@@ -136,7 +154,9 @@
     def handle(self, dispatcher: str, request: Request) -> None:
         connection = request.connection
         if request.method == b"POST" and request.target == b"/status":
-            self.notices(connection, request.body)
+            connection.repeats, connection.state = self.repeated_answers, request
+            status = self.notices(request.body)
+            self.loop.call_later(NOTICE_ANSWER_S, self.answer_notices, connection, status)
         elif self.down:
             connection.answer(503)
         elif request.target.startswith(b"/discovery/hosts?watch=1"):
@@ -148,17 +168,24 @@
         else:
             connection.answer(404)
 
-    def notices(self, connection: HttpConnection, body: bytes) -> None:
+    def answer_notices(self, connection: HttpConnection, status: int) -> None:
+        connection.state = None
+        if not connection.transport.is_closing():
+            connection.answer(status)
+
+    def notices(self, body: bytes) -> int:
+        """Take the notices in and return the status of the answer."""
         try:
             told = [json.loads(line) for line in body.splitlines() if line.strip()]
             for notice in told:
                 if notice["result"] not in ("dead", "bounced"):
                     raise ValueError(notice["result"])
         except (ValueError, KeyError, TypeError):
-            connection.answer(400)
-            return
+            return 400
+        if self.chance.random() < self.refuse_notices:
+            return 503
         for notice in told:
             wait = notice.get("wait_ms", 0)
             self.history.add("notice", id=notice["ref"], result=notice["result"], wait_ms=wait)
             self.heard(notice)
-        connection.answer(204)
+        return 204
--- a/lab/http.py
+++ b/lab/http.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from lab.repeats import SPLIT_S, Repeats
+
 MOST_HEAD = 16_384  # bytes: what stands in for a partner need not take more
 
 
@@ -42,6 +44,11 @@
         self.answered: Any = None  # likewise, of its newest answer
         self.dispatcher = ""  # whose it is, where the stand-in tells them apart
         self.used_ms = clock()
+        self.repeats: Repeats | None = None  # a fault of the network, if the stand-in plays it
+        self.behind_next: list[bytes] = []  # come again behind the next request
+        self.with_next = b""  # comes again before the next answer
+        self.last = False  # the newest request asked for the connection to be closed behind its answer
+        self.read_to_end = False  # the client has read the last answer and closed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -53,6 +60,7 @@
         self.lost(self)
 
     def eof_received(self) -> None:
+        self.read_to_end = self.last
         self.transport.close()
 
     def data_received(self, data: bytes) -> None:
@@ -70,6 +78,8 @@
             del self.buffer[: end + 4 + size]
             method, target, _ = first.split(b" ", 2)
             self.used_ms = self.clock()
+            self.last = headers.get(b"connection", b"").lower() == b"close"
+            self.repeat_behind_request()
             self.handler(Request(self, method, target, headers, body, self.began_ms))
             self.began_ms = self.clock()
             if self.transport.is_closing():
@@ -78,10 +88,50 @@
             self.transport.abort()
 
     def answer(self, status: int, body: bytes = b"", headers: bytes = b"") -> None:
-        """`headers` are whole lines."""
+        """`headers` are whole lines. Ends the sending where the request was the connection's last."""
         length = b"" if status == 204 else b"Content-Length: %d\r\n" % len(body)
-        self.transport.write(b"HTTP/1.1 %d x\r\n%s%s\r\n%s" % (status, length, headers, body))
+        last = b"Connection: close\r\n" if self.last else b""
+        data = b"HTTP/1.1 %d x\r\n%s%s%s\r\n%s" % (status, length, last, headers, body)
+        way = self.repeats.draw() if self.repeats is not None else None
+        before, self.with_next = self.with_next, b""
+        self.transport.write(before + data + (data if way == "at_once" else b""))
         self.used_ms = self.clock()
+        if self.last:
+            self.transport.write_eof()
+        elif way is not None:
+            self.repeat(data, way)
+
+    def repeat(self, data: bytes, way: str) -> None:
+        """Let an answer come again, in one of the ways of `lab.repeats`."""
+        assert self.repeats is not None, "the way was drawn from it"
+        loop, later_s = asyncio.get_running_loop(), self.repeats.later_s()
+        match way:
+            case "later":
+                loop.call_later(later_s, self.send_again, data)
+            case "split":
+                middle = len(data) // 2
+                loop.call_later(later_s, self.send_again, data[:middle])
+                loop.call_later(later_s + SPLIT_S, self.send_again, data[middle:])
+            case "behind_next":
+                self.behind_next.append(data)
+            case "several":
+                self.behind_next += [data] * 3
+            case "with_next":
+                self.with_next = data
+
+    def repeat_behind_request(self) -> None:
+        held, self.behind_next = self.behind_next, []
+        for data in held:
+            assert self.repeats is not None, "the way was drawn from it"
+            asyncio.get_running_loop().call_later(self.repeats.behind_request_s(), self.send_again, data)
+
+    def send_again(self, data: bytes) -> None:
+        if not self.transport.is_closing() and not self.ended_sending():
+            self.transport.write(data)
+
+    def ended_sending(self) -> bool:
+        """Whether the last answer has been written, behind which nothing can be sent."""
+        return self.last and self.state is None
 
     def reset(self) -> None:
         """End the connection with an RST."""
--- a/lab/partners.py
+++ b/lab/partners.py
@@ -19,6 +19,7 @@
 from lab.history import ACCEPTED, EXPIRED, NO_MORE, History
 from lab.http import HttpConnection, Request, port_of, serve
 from lab.limits import Health, Limit
+from lab.repeats import Repeats
 
 MANY = b"/receive-many"
 HURRIED_MS = 300.0
@@ -80,6 +81,7 @@
         0.0  # 503 with `X-Line-Busy: 1`: all slots of the dispatcher were taken (platform only)
     )
     unread: float = 0.0  # batches that are answered 400 or 413 (platform only)
+    refuse: float = 0.0  # 503, after the time that a call takes
 
     @property
     def outage(self) -> bool:
@@ -154,6 +156,7 @@
         self.lanes: dict[str, Lane] = {}
         self.bank = Bank(self.chance, self.reply)
         self.admitted: dict[str, list[float]] = {}  # by lane, the times of calls, for the pressure
+        self.repeats = Repeats(random.Random(f"repeated answers {seed}"))
         self.loop = asyncio.get_running_loop()
         self.over: Callable[[str], bool] = lambda name: False
         self.max_attempts = math.inf
@@ -196,7 +199,7 @@
                 self.history.add("refused", endpoint=endpoint.name, dispatcher=dispatcher)
                 connection.reset()
                 return
-            connection.dispatcher = dispatcher
+            connection.dispatcher, connection.repeats = dispatcher, self.repeats
             endpoint.connections.add(connection)
 
         def handle(request: Request) -> None:
@@ -205,7 +208,8 @@
         def lost(connection: HttpConnection) -> None:
             endpoint.connections.discard(connection)
             call = connection.state
-            if call is None and self.history.now() - connection.used_ms <= ANSWER_LOST_MS:
+            soon = self.history.now() - connection.used_ms <= ANSWER_LOST_MS
+            if call is None and soon and not connection.read_to_end:
                 call = connection.answered
             if call is not None:
                 self.history.add("gone", call=call)
@@ -445,6 +449,7 @@
             (faults.cut, "cut"),
             (faults.half * call.platform, "half"),
             (faults.endless * call.platform, "endless"),
+            (faults.refuse, "refused"),
         ):
             if roll < share:
                 getattr(self, "end_" + how)(call)
@@ -484,6 +489,9 @@
     def end_error(self, call: IncomingCall) -> None:
         self.finish(call, "error", 500)
 
+    def end_refused(self, call: IncomingCall) -> None:
+        self.finish(call, "turned away", 503)
+
     def end_reset(self, call: IncomingCall) -> None:
         self.reply(call.number, call.ids, "reset")
         call.request.connection.reset()
--- a/lab/run.py
+++ b/lab/run.py
@@ -29,6 +29,7 @@
 from lab.membership_rules import check as check_members
 from lab.partners import HURRIED_MS, Lane, Partners, Spec
 from lab.processes import Dispatcher, PlannerProcess, SignalSeries
+from lab.repeats import RepeatFaults
 from lab.rules import Broken, check
 from lab.scenario import Fault, Scenario
 from lab.ways import Way, WayFaults
@@ -100,7 +101,7 @@
         }
         self.partners = Partners(scenario.partners, self.names, self.history, scenario.seed, **cold)
         self.partners.over, self.partners.max_attempts = self.message_over, self.settings.max_attempts
-        self.directory = Directory(self.names, self.address, self.history, self.clients.heard)
+        self.directory = Directory(self.names, self.address, self.history, self.clients.heard, scenario.seed)
         self.dispatchers: dict[str, Dispatcher] = {}
         self.planners: dict[str, PlannerProcess] = {}
         self.planner_addresses: dict[str, tuple[str, int]] = {}
@@ -433,6 +434,22 @@
         await self.partners.add(spec, name, spec.zones[-1])
         self.list(name)
 
+    def begin_repeat(self, fault: Fault) -> None:
+        struck = RepeatFaults(**fault.faults)
+        self.partners.repeats.share, self.partners.repeats.ways = struck.answers, struck.ways
+        answers = self.directory.repeated_answers
+        answers.share, answers.ways = struck.notices, struck.ways
+        self.directory.repeated_lines.share = struck.lists
+
+    def end_repeat(self, fault: Fault) -> None:
+        self.begin_repeat(dataclasses.replace(fault, faults={}))
+
+    def begin_refuse_notices(self, fault: Fault) -> None:
+        self.directory.refuse_notices = fault.factor
+
+    def end_refuse_notices(self, fault: Fault) -> None:
+        self.directory.refuse_notices = 0.0
+
     def begin_directory(self, fault: Fault) -> None:
         self.directory.go_down()
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -35,6 +35,7 @@
 
 from lab.member_ways import WayFault
 from lab.partners import Faults, Spec
+from lab.repeats import RepeatFaults
 from lab.ways import WayFaults
 
 WHATS = {
@@ -66,9 +67,12 @@
     " the fields of `lab.ways.WayFaults`",
     "member_way": "the ways between members: of one (d0), from it (d0-*), to it (*-d0), from one to another"
     " (d0-d1), between buildings (a-b); all, if none is named, with the fields of `lab.member_ways.WayFault`",
+    "repeat": "answers and lines come again, with the fields of `lab.repeats.RepeatFaults`",
+    "refuse_notices": "the platform answers a share (`factor`) of the notices 503 and does not take them",
     "burst": "the load on a partner is `factor` times the usual",
 }
 
+FIELDS = {"way": WayFaults, "member_way": WayFault, "repeat": RepeatFaults}  # by `what`; else `Faults`
 
 ON_DISPATCHERS = (
     "kill",
@@ -310,7 +314,9 @@
         }
         place = f"{name}: fault at {own.get('at')}"
         try:
-            kind = {"way": WayFaults, "member_way": WayFault}.get(own.get("what", ""), Faults)
+            kind = {"way": WayFaults, "member_way": WayFault, "repeat": RepeatFaults}.get(
+                own.get("what", ""), Faults
+            )
             faults.append(Fault(**own, faults=fields_of(kind, row, place)))
         except TypeError as error:
             raise BadScenario(f"{place}: {error}") from None
