--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -68,7 +68,7 @@
     "member_way": "the ways between members: of one (d0), from it (d0-*), to it (*-d0), from one to another"
     " (d0-d1), between buildings (a-b); all, if none is named, with the fields of `lab.member_ways.WayFault`",
     "repeat": "answers and lines come again, with the fields of `lab.repeats.RepeatFaults`",
-    "refuse_notices": "the platform answers a share (`factor`) of the notices 503 and does not take them",
+    "refuse_notices": "the platform answers a share (`factor`) of the notices 503 at first, untaken",
     "burst": "the load on a partner is `factor` times the usual",
 }
 
