An answer counts for a call only if no earlier one on its connection could look like it

Cause: EndpointPool.read_answer took the first complete answer behind a request for its own. HTTP/1.1 pairs by order alone, so a copy of a 200 ended the message, and the connection stayed off by one: the true 503 was taken for the next call's, which had run.

Fix: rushhitch/exchanges.py, without I/O. A connection carries two requests. The first answer on it belongs to the first; the second request says Connection: close, and only an answer that says so as well belongs to it. Anything else is passed over, logged and counted, and the time for the answer begins anew. An answer to it that breaks off behind its first line proves nothing unless the mark was read. Protocols other than the platform's have to show that they set the mark before a message that may not be repeated is sent so. Why it works: no answer before the second can carry the mark, since the connection would have ended with it; RFC 9112, 9.6, and the protocol page ask for the close.

The doubles close behind Connection: close, as the page has it.

--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -10,9 +10,13 @@
 
 import h11
 
+from rushhitch.exchanges import ExchangeSequence, closes_connection
+
 READ_BYTES = 65_536
 MAX_RESPONSE_START_BYTES = 1_024
 MAX_INTERIM_RESPONSES = 20  # 1xx, before the final response
+MAX_UNATTRIBUTED_RESPONSES = 20  # that belong to no request, before the one to the latest
+MAX_UNATTRIBUTED_BYTES = 65_536  # of the body of one
 MIN_LAST_BYTE_DELAY_S, MAX_LAST_BYTE_DELAY_S = 0.002, 0.05  # watching for a close before the last byte
 DELAY_PER_CONNECT_TIME = 2.0  # lets the bytes reach the peer and a reset come back
 SERIALS = itertools.count(1)  # of the connections of this process, for the log
@@ -39,7 +43,7 @@
 class Connection:
     """Sends requests one at a time. `written` tells whether the last byte of the latest one was sent;
     `response_start` holds the first bytes of its response, after any 1xx. `serial` identifies the connection
-    in the log, `requests` counts those that were begun on it."""
+    in the log; `exchanges` decides which response belongs to which request."""
 
     def __init__(self, sock: socket.socket, address: tuple[str, int], connect_s: float = 0.0) -> None:
         self.sock, self.address, self.http = sock, address, h11.Connection(h11.CLIENT)
@@ -47,9 +51,11 @@
             max(DELAY_PER_CONNECT_TIME * connect_s, MIN_LAST_BYTE_DELAY_S), MAX_LAST_BYTE_DELAY_S
         )
         self.loop = asyncio.get_running_loop()
-        self.serial, self.requests = next(SERIALS), 0
+        self.serial, self.exchanges = next(SERIALS), ExchangeSequence()
         self.written, self.response_start, self.interim_count = False, b"", 0
         self.on_response_start: Callable[[], None] | None = None  # called as the final response begins
+        # Called with the start of a response that belongs to no request and was passed over.
+        self.on_unattributed: Callable[[bytes], None] | None = None
 
     @classmethod
     async def open(cls, address: tuple[str, int]) -> Connection:
@@ -84,8 +90,9 @@
         other code run in between.
         """
         self.written, self.response_start, self.interim_count = False, b"", 0
-        self.requests += 1
         headers = [(b"Host", "{}:{}".format(*self.address).encode()), *headers]
+        if self.exchanges.begin():
+            headers.append((b"Connection", b"close"))
         if method == "POST":
             headers.append((b"Content-Length", b"%d" % len(body)))
         parts = [self.http.send(h11.Request(method=method, target=target, headers=headers))]
@@ -175,10 +182,30 @@
             self.on_response_start()
 
     async def response(self) -> h11.Response:
-        """The head of the response."""
-        event = await self.event()
-        assert isinstance(event, h11.Response)  # h11 yields the head first, or raises
-        return event
+        """The head of the response to the latest request. Responses that belong to none are passed over."""
+        while True:
+            event = await self.event()
+            assert isinstance(event, h11.Response)  # h11 yields the head first, or raises
+            if self.exchanges.accept(closes_connection(event)):
+                return event
+            await self.body(MAX_UNATTRIBUTED_BYTES)
+            self.pass_over_response()
+
+    def pass_over_response(self) -> None:
+        """The response that was read belongs to no request: expect that to the latest request behind it.
+        Raises `h11.RemoteProtocolError` after too many."""
+        if self.exchanges.unattributed > MAX_UNATTRIBUTED_RESPONSES:
+            raise h11.RemoteProtocolError("too many responses that belong to no request")
+        start, (rest, _) = self.response_start, self.http.trailing_data
+        self.http = h11.Connection(h11.CLIENT)
+        self.http.send(h11.Request(method="GET", target="/", headers=[(b"Host", b"unused")]))
+        self.http.send(h11.EndOfMessage())
+        self.response_start, self.interim_count = b"", 0
+        if self.on_unattributed is not None:
+            self.on_unattributed(start)
+        if rest:
+            self.note_response_start(rest)
+            self.http.receive_data(rest)
 
     async def body(self, max_bytes: int) -> bytes:
         """The rest of the response. Raises `h11.RemoteProtocolError` if it exceeds `max_bytes`."""
--- a/rushhitch/core/node.py
+++ b/rushhitch/core/node.py
@@ -412,6 +412,12 @@
         """Whether the partner of the destination may answer 202 and acknowledge later."""
         return self.registry.codecs.get(destination, PLATFORM).expects_acknowledgement(HTTP_ACCEPTED)
 
+    def is_repeatable(self, kept: JournalEntry) -> bool:
+        """Whether a second delivery of the message has no effect."""
+        terms = self.history.terms_of(kept.number, kept.cls)
+        message_class = terms.cls if terms is not None else self.settings.classes[self.classes[kept.cls]]
+        return message_class.effect is api.Effect.SAFE
+
     def is_ordered(self, kept: JournalEntry) -> bool:
         """Whether messages with its key are delivered in order."""
         if not kept.key:
@@ -704,6 +710,7 @@
                         kept.attributes,
                         self.to_wall_time(message.due),
                         kept.idempotency,
+                        self.is_repeatable(kept),
                         start_by_ms / 1000.0,
                     )
                 )
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -17,6 +17,7 @@
 
 from crowpier.interface import Outcome, Settings, State
 from rushhitch.connection import Connection, Headers, NotSent
+from rushhitch.exchanges import ReusePolicy
 from rushhitch.partners.codec import Attempt, AttemptResult, Codec, ResultsById
 from rushhitch.partners.platform import Platform, result_from_head
 
@@ -76,6 +77,7 @@
     open: dict[tuple[int, int], Attempt]
     ids: list[bytes]
     codec: Codec = PLATFORM
+    repeatable: bool = True  # a second delivery of each of its messages has no effect
     first_due: float = math.inf
     wait: float = 0.0  # retry-after of its answer, in milliseconds
     idled_ms: float = 0.0
@@ -99,6 +101,7 @@
     FROZEN = "frozen"
     IDLE = "idle"
     INPUT = "input"  # closed by the endpoint, or unrequested bytes
+    OUT_OF_STEP = "out of step"  # the endpoint has sent an answer that belonged to no request
 
 
 StartCallback = Callable[[list[Attempt]], None]  # called with the attempts of a call that may be written
@@ -151,6 +154,7 @@
         self.frozen = False  # no call starts, another process continues
         self.held_back = 0  # calls must_not_start right before their last byte
         self.written = 0  # messages in calls that were written in full
+        self.reuse = ReusePolicy({PLATFORM})
         self.unrequested = 0  # times that an endpoint sent something that no request had asked for
         self.tasks: set[asyncio.Task[None]] = set()
         self.idle_limit_s = settings.conn_idle_ms * (1.0 - IDLE_TIMEOUT_MARGIN) / 1000.0
@@ -159,6 +163,8 @@
         """Add the endpoint or replace its entry. Idle connections are closed if it moved or is not ready."""
         old = self.entries.get(endpoint)
         self.entries[endpoint] = entry
+        if old is not None and old.address != entry.address:
+            self.reuse.forget(endpoint)
         if entry.state is not State.READY or (old is not None and old.address != entry.address):
             for idle in list(self.idle.get(endpoint, ())):
                 self.drop_idle(endpoint, idle, CloseReason.ENDPOINT_CHANGED)
@@ -219,23 +225,26 @@
             listed = self.entries.get(endpoint)
             if listed is not None and listed.state is State.GONE:
                 del self.entries[endpoint]
+                self.reuse.forget(endpoint)
                 now = self.loop.time()
                 self.retry_after = {lane: until for lane, until in self.retry_after.items() if until > now}
 
     # Connections
 
-    def acquire(self, endpoint: str) -> tuple[Connection, float] | None:
-        """The most recently used idle connection and its idle time in seconds. Connections that are idle for
-        too long or have unexpected input are closed."""
-        while idle := self.idle.get(endpoint):
-            connection, since = idle[-1]
-            idled = self.loop.time() - since
-            if idled < self.idle_limit_s and connection.has_no_input():
-                self.remove_idle(endpoint, idle[-1])
+    def acquire(self, call: Call) -> tuple[Connection, float] | None:
+        """The most recently used idle connection that the call may use, and its idle time in seconds.
+        Connections that are idle for too long or have unexpected input are closed."""
+        now = self.loop.time()
+        for entry in reversed(self.idle.get(call.endpoint, [])[:]):
+            connection, idled = entry[0], now - entry[1]
+            if idled >= self.idle_limit_s:
+                self.drop_idle(call.endpoint, entry, CloseReason.IDLE)
+            elif not connection.has_no_input():
+                self.drop_idle(call.endpoint, entry, CloseReason.INPUT)
+                return self.acquire(call)  # what it sent may have closed others too
+            elif not connection.exchanges.answered or self.reuse.permits(call.codec, call.repeatable):
+                self.remove_idle(call.endpoint, entry)
                 return connection, idled
-            self.drop_idle(
-                endpoint, idle[-1], CloseReason.IDLE if idled >= self.idle_limit_s else CloseReason.INPUT
-            )
         return None
 
     def release(self, endpoint: str, connection: Connection) -> None:
@@ -253,6 +262,9 @@
         ):
             self.close(endpoint, connection, CloseReason.BANNED if blocked else CloseReason.ENDPOINT_CHANGED)
             return
+        if connection.exchanges.requests and self.reuse.is_suspended(endpoint, now):
+            self.close(endpoint, connection, CloseReason.OUT_OF_STEP)
+            return
         entry = (connection, now)
         self.idle.setdefault(endpoint, []).append(entry)
         self.loop.add_reader(connection.sock, self.drop_idle, endpoint, entry, CloseReason.INPUT)
@@ -267,22 +279,31 @@
         """Close an idle connection that is too old, or whose peer closed it or sent unrequested bytes."""
         self.remove_idle(endpoint, entry)
         if reason is CloseReason.INPUT and (data := entry[0].unrequested()):
-            self.log_unrequested(endpoint, entry[0], data)
+            self.note_unrequested(endpoint, entry[0], data)
         self.close(endpoint, entry[0], reason)
         self.dropped(endpoint)
 
-    def log_unrequested(self, endpoint: str, connection: Connection, data: bytes) -> None:
-        """Count and log bytes that an endpoint sent although no request was out on the connection."""
+    def note_unrequested(self, endpoint: str, connection: Connection, data: bytes) -> None:
+        """An endpoint sent something that no request had asked for: count and log it, and use none of its
+        connections twice for a while."""
         self.unrequested += 1
         log.info(
-            "unrequested bytes from an endpoint",
+            "unrequested answer from an endpoint",
             extra=self.fields(endpoint, connection) | {"first_line": first_line(data)},
         )
+        self.reuse.note_unrequested(endpoint, data, self.loop.time())
+        if self.reuse.is_suspended(endpoint, self.loop.time()):
+            for entry in list(self.idle.get(endpoint, ())):
+                self.drop_idle(endpoint, entry, CloseReason.OUT_OF_STEP)
 
     @staticmethod
     def fields(endpoint: str, connection: Connection) -> dict[str, object]:
         """Log fields: the endpoint, the connection, and the number of its latest request."""
-        return {"endpoint": endpoint, "connection": connection.serial, "request": connection.requests}
+        return {
+            "endpoint": endpoint,
+            "connection": connection.serial,
+            "request": connection.exchanges.requests,
+        }
 
     def close_idle(self, endpoint: str, reason: CloseReason = CloseReason.IDLE) -> None:
         for entry in list(self.idle.get(endpoint, ())):
@@ -336,7 +357,15 @@
         open_ = {(a.message, a.number): a for a in attempts}
         first_due = min(attempt.due for attempt in attempts)
         codec = self.entries[endpoint].codec
-        call = Call(endpoint, self.loop.time(), open_, [attempt.id for attempt in attempts], codec, first_due)
+        call = Call(
+            endpoint,
+            self.loop.time(),
+            open_,
+            [attempt.id for attempt in attempts],
+            codec,
+            all(attempt.repeatable for attempt in attempts),
+            first_due,
+        )
         self.calls.update(dict.fromkeys(call.open, call))
         call.task = self.start_task(endpoint, self.run(call, attempts))
 
@@ -401,7 +430,7 @@
                     if self.must_not_start(connection, call, attempts):
                         broken = Outcome.NOT_EXECUTED
                         break
-                    connection.on_response_start = lambda: self.limit_remaining_time(limit)
+                    self.follow_response(connection, call, limit)
                     try:
                         await self.request(connection, call, attempts)
                     except OSError:
@@ -443,7 +472,7 @@
             self.end_all(call, self.broken_call_end(connection, call, broken))
 
     async def obtain_connection(self, call: Call) -> Connection:
-        if taken := self.acquire(call.endpoint):
+        if taken := self.acquire(call):
             connection, idled = taken
             call.idled_ms = max(idled * 1000.0, 1e-3)
         else:
@@ -452,6 +481,17 @@
         connection.written, connection.response_start = False, b""
         return connection
 
+    def follow_response(self, connection: Connection, call: Call, limit: asyncio.Timeout) -> None:
+        """Bound the time of the answer once it has begun; one that belongs to no request does not count."""
+        stop = limit.when()
+
+        def unattributed(start: bytes) -> None:
+            limit.reschedule(stop)
+            self.note_unrequested(call.endpoint, connection, start)
+
+        connection.on_response_start = lambda: self.limit_remaining_time(limit)
+        connection.on_unattributed = unattributed
+
     def limit_remaining_time(self, limit: asyncio.Timeout) -> None:
         """Bound the time for the rest of an answer that has begun, since it might never end."""
         stop = limit.when()
@@ -460,15 +500,17 @@
 
     def finish_exchange(self, connection: Connection, call: Call, broken: Outcome) -> None:
         """Keep the connection if its HTTP exchange is complete or nothing was written; else close it."""
-        connection.on_response_start = None
+        connection.on_response_start = connection.on_unattributed = None
         unused = broken is Outcome.NOT_EXECUTED and not call.aborted  # an aborted call may be partly written
         call.kept = connection.prepare_next_request() if connection.written else unused
         self.log_exchange(connection, call, broken)
+        if connection.exchanges.ended_unmarked:
+            self.reuse.note_unmarked(call.codec)
         if call.kept:
             self.release(call.endpoint, connection)
             return
         if data := connection.http.trailing_data[0]:
-            self.log_unrequested(call.endpoint, connection, data)
+            self.note_unrequested(call.endpoint, connection, data)
         self.close(call.endpoint, connection, CloseReason.ENDED)
 
     def log_exchange(self, connection: Connection, call: Call, broken: Outcome) -> None:
@@ -491,7 +533,8 @@
             return AttemptResult(Outcome.NOT_EXECUTED)
         if connection is None or not connection.written:
             return AttemptResult(broken if broken is Outcome.CANCELLED else Outcome.CONNECT_FAILED)
-        if len(call.ids) == 1 and call.codec.delivered(connection.response_start):
+        counts = len(call.ids) == 1 and connection.exchanges.first_line_counts
+        if counts and call.codec.delivered(connection.response_start):
             call.later = call.codec.expects_acknowledgement(int(connection.response_start[9:12]))
             return AttemptResult(Outcome.OK, delivered=True)
         final = call.codec.final(connection.response_start)
@@ -570,12 +613,9 @@
     async def read_answer(self, connection: Connection, call: Call) -> ResultsById:
         """Read the answer and return the end of each message. Only an answer that was read in full counts."""
         response = await connection.response()
-        call.wait = call.codec.wait_ms(response, time.time())
-        if call.wait:
-            lane = self.entries[call.endpoint].lane
-            self.retry_after[lane] = max(
-                self.retry_after.get(lane, 0.0), self.loop.time() + call.wait / 1000.0
-            )
+        if connection.exchanges.last:
+            self.reuse.note_marked(call.codec)
+        self.heed_wait(call, call.codec.wait_ms(response, time.time()))
         body = await connection.body(MAX_RESPONSE_BYTES)
         call.later = call.codec.expects_acknowledgement(response.status_code)
         if call.codec.withdrawn(response):
@@ -591,8 +631,18 @@
             }
         return ends
 
+    def heed_wait(self, call: Call, wait_ms: float) -> None:
+        """Send nothing to the lane of the call for so long."""
+        call.wait = wait_ms
+        if wait_ms:
+            lane, until = self.entries[call.endpoint].lane, self.loop.time() + wait_ms / 1000.0
+            self.retry_after[lane] = max(self.retry_after.get(lane, 0.0), until)
+
     # Requests without a message
 
+    def call_without_message(self, endpoint: str) -> Call:
+        return Call(endpoint, self.loop.time(), {}, [], self.entries[endpoint].codec)
+
     async def exchange(
         self, connection: Connection, method: str, target: str, headers: Headers
     ) -> h11.Response:
@@ -604,7 +654,7 @@
     async def ask(self, endpoint: str, method: str, target: str, headers: Headers) -> h11.Response:
         """Send a request without a message and return the head of its answer. Raises `OSError`,
         `TimeoutError`, `h11.ProtocolError`, or `KeyError` if the endpoint is not listed."""
-        call, connection = Call(endpoint, self.loop.time(), {}, []), None
+        call, connection = self.call_without_message(endpoint), None
         try:
             async with asyncio.timeout(ASK_S):
                 connection = await self.obtain_connection(call)
@@ -620,7 +670,7 @@
             report(endpoint, Outcome.NOT_EXECUTED, 0.0)
 
     async def run_probe(self, endpoint: str, report: Callable[[str, Outcome, float], None]) -> None:
-        call, connection, outcome = Call(endpoint, self.loop.time(), {}, []), None, Outcome.CONNECT_FAILED
+        call, connection, outcome = self.call_without_message(endpoint), None, Outcome.CONNECT_FAILED
         try:
             async with asyncio.timeout(self.settings.connect_timeout_ms / 1000.0):
                 connection = await self.obtain_connection(call)
--- a/rushhitch/partners/codec.py
+++ b/rushhitch/partners/codec.py
@@ -38,6 +38,7 @@
     attributes: bytes = b""  # JSON object; empty unless the message was received as an event
     deadline: float = 0.0  # deadline of the message, Unix time in seconds; 0 if unknown
     idempotency: bytes = b""  # key by which the endpoint detects repeats; empty without one
+    repeatable: bool = False  # a second delivery has no effect
     start_by: float = math.inf  # must not begin later: its key has expired, or it waited too long
 
 
--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -42,11 +42,17 @@
     body: bytes
 
     def answer(self, status: int, body: bytes = b"", **headers: str) -> None:
+        """Answer it, and close the connection behind the answer if the request asks for that."""
+        last = self.headers.get("connection") == "close"
+        if last:
+            headers["Connection"] = "close"
         lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}"]
         lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
         if status == 204:
             del lines[1]
         self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        if last:
+            self.writer.write_eof()
 
     def chunk(self, text: str) -> None:
         data = text.encode() + b"\n"
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -28,9 +28,10 @@
     def list(self, address, state=State.READY):
         self.endpoints.set_endpoint("e1", EndpointEntry(address, 7, self.batch, state))
 
-    def send(self, *messages, body=b"hello", patience=30.0, endpoint="e1"):
+    def send(self, *messages, body=b"hello", patience=30.0, endpoint="e1", repeatable=True):
         stop_at = asyncio.get_running_loop().time() + patience
-        self.endpoints.send(endpoint, [Attempt(m, 0, b"m%d" % m, body, stop_at) for m in messages])
+        attempts = [Attempt(m, 0, b"m%d" % m, body, stop_at, repeatable=repeatable) for m in messages]
+        self.endpoints.send(endpoint, attempts)
 
     async def result(self):
         result = await self.results.get()
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -27,6 +27,7 @@
     "rushhitch.signals",
     "rushhitch.config",
     "rushhitch.connection",
+    "rushhitch.exchanges",
     "rushhitch.control",
     "rushhitch.journal",
     "crowpier.benchlink",
