Each request with notices has a connection of its own: a 204 names no notice

Fix: one request a connection; its first answer is its own. Notices are few and go together, up to 100 in a request, so nothing else is lost; the check of an idle connection goes.

The unit test of an idle connection that is not used again became a stricter one: no connection is used again, and a second 204 behind the first changes nothing.

--- a/rushhitch/discovery.py
+++ b/rushhitch/discovery.py
@@ -36,7 +36,6 @@
 SILENCE_RECONNECT_S, QUICK_RETRY_S = 1.05, 0.3  # limit of the delay after a silence; then after one refusal
 NOTICE_S, NOTICE_TOP_S = 0.15, 2.0  # first and longest time-out for sending: the platform answers at once
 MAX_NOTICE_ANSWER_S = 10.0  # longest time-out for the answer: a slow platform must still be able to answer
-NOTICE_IDLE_S = 1.0  # after it a connection may have been dropped unnoticed, which would delay the notice
 NOTICE_ASIDE_S = 10.0  # before a notice that the platform could not read is sent again: its end is still due
 NOTICE_RETRY_S = 0.05  # before the next connection; time-outs double with each
 MAX_LINE_BYTES = 4_000_000
@@ -325,15 +324,14 @@
 
 class NoticeSender:
     """Sends the end of each message to the platform until the platform acknowledges it with 204, and then
-    calls `on_acknowledged` with the message's number."""
+    calls `on_acknowledged` with the message's number. Each request has a connection of its own: a 204 names
+    no notice, so on a connection that has carried one it might be a copy of the earlier answer."""
 
     def __init__(self, address: tuple[str, int], on_acknowledged: Callable[[int], None]) -> None:
         self.address, self.on_acknowledged = address, on_acknowledged
         self.pending: dict[int, dict[str, Any]] = {}  # by message number, since an id may be reused
         self.wake, self.empty = asyncio.Event(), asyncio.Event()
         self.empty.set()
-        self.connection: Connection | None = None
-        self.last_used_at = 0.0
         self.reset_timeouts()
 
     def reset_timeouts(self) -> None:
@@ -354,12 +352,6 @@
         self.address = address
 
     async def run(self) -> None:
-        try:
-            await self.send_pending()
-        finally:
-            self.drop_connection()
-
-    async def send_pending(self) -> None:
         batch_size = MAX_NOTICES_PER_REQUEST
         self.reset_timeouts()
         self.wake.set()  # an earlier `run` may have been stopped with some in flight
@@ -380,7 +372,6 @@
                     log.info("sending notices failed, retrying: %r", error)
                 except Exception:
                     log.exception("sending notices failed, retrying")
-                self.drop_connection()
                 await asyncio.sleep(NOTICE_RETRY_S)
             batch_size = MAX_NOTICES_PER_REQUEST
             self.empty.set()
@@ -401,34 +392,32 @@
         batch = {number: self.pending[number] for number in numbers}
         body = b"".join(json.dumps(notice).encode() + b"\n" for notice in batch.values())
         connection = await self.send_request(body)
-        response = await self.read_response(connection)
+        try:
+            response = await self.read_response(connection)
+        finally:
+            connection.close()
         if response.status_code == 400:
             raise NoticeRejected("the platform answered 400")
         if response.status_code != 204:
             raise ConnectionError(f"the platform answered notices with {response.status_code}")
-        self.last_used_at = asyncio.get_running_loop().time()
         for number, notice in batch.items():
             if self.pending[number] is notice:  # else replaced meanwhile, and still to be sent
                 del self.pending[number]
                 self.on_acknowledged(number)
-        if not connection.prepare_next_request():
-            self.drop_connection()
 
     async def send_request(self, body: bytes) -> Connection:
-        """Send a request on the open connection, or on a new one if that idled too long; returns it."""
+        """Send a request on a new connection and return that."""
+        connection = None
         try:
             async with asyncio.timeout(self.send_timeout_s):
-                idled = asyncio.get_running_loop().time() - self.last_used_at
-                if self.connection is not None and (
-                    idled > NOTICE_IDLE_S or not self.connection.has_no_input()
-                ):
-                    self.drop_connection()
-                if self.connection is None:
-                    self.connection = await Connection.open(self.address)
-                await self.connection.send("POST", "/status", [], body)
-                return self.connection
-        except TimeoutError:
-            self.send_timeout_s = min(2.0 * self.send_timeout_s, NOTICE_TOP_S)
+                connection = await Connection.open(self.address)
+                await connection.send("POST", "/status", [], body)
+                return connection
+        except BaseException as error:
+            if connection is not None:
+                connection.close()
+            if isinstance(error, TimeoutError):
+                self.send_timeout_s = min(2.0 * self.send_timeout_s, NOTICE_TOP_S)
             raise
 
     async def read_response(self, connection: Connection) -> h11.Response:
@@ -443,11 +432,6 @@
             self.response_timeout_s = min(2.0 * self.response_timeout_s, MAX_NOTICE_ANSWER_S)
             raise
 
-    def drop_connection(self) -> None:
-        if self.connection is not None:
-            self.connection.close()
-            self.connection = None
-
 
 class PlatformClient:
     """Runs the watch and the notice sender, both at one address at a time."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -198,17 +198,18 @@
         await notices.empty.wait()
 
 
-def test_a_connection_that_idled_is_not_reused_for_a_notice(monkeypatch):
-    # It may have been dropped unnoticed, and the notice would be late.
+def test_each_request_with_notices_has_a_connection_of_its_own():
+    # One that idled may have been dropped unnoticed, and a 204 on one that was used may be a copy.
     @with_notices
     async def _(platform, notices, acknowledged):
-        for connection in (1, 1, 2):
-            monkeypatch.setattr(discovery, "NOTICE_IDLE_S", 30.0 if connection == 1 else -1.0)
+        for connection in (1, 2, 3):
             notices.add(1, b"m1", "dead", 0.0)
             request = await platform.next()
             assert request.connection == connection
             request.answer(204)
+            request.answer(204)
             await acknowledged.get()
+            assert await request.ended()
 
 
 def test_notices_that_are_due_together_go_together():
