An older list that comes again on a watch is not applied

Callers saw (INCIDENT's probe and our lab): a draining endpoint called for as long as it drained, once the line before came again behind the one that told the drain.

Cause: Watch.handle_update applied whatever line came next; versions were stored and not compared. Fix: ListStream, by watch. Lines of the newest version are applied again, which changes nothing.

--- a/rushhitch/discovery.py
+++ b/rushhitch/discovery.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import json
 import logging
 import math
 import random
 import re
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -39,6 +41,8 @@
 NOTICE_ASIDE_S = 10.0  # before a notice that the platform could not read is sent again: its end is still due
 NOTICE_RETRY_S = 0.05  # before the next connection; time-outs double with each
 MAX_LINE_BYTES = 4_000_000
+MAX_REMEMBERED_LINES = 256  # of a watch, to tell a copy of an older line from a discovery that began anew
+DIGEST_BYTES = 16  # of a line
 MAX_NOTICES_PER_REQUEST = 100
 EXPECTED_ERRORS = (OSError, TimeoutError, h11.ProtocolError, ValueError)
 
@@ -192,6 +196,31 @@
         return objects
 
 
+class VersionsFell(ConnectionError):
+    """A watch went on with a version below one that it has sent: discovery may have begun anew."""
+
+
+class ListStream:
+    """The versions of one watch. Its first line counts whatever its version, since discovery may have begun
+    anew; from then on versions only rise, and an older line that comes again is not applied."""
+
+    def __init__(self) -> None:
+        self.newest: int | None = None
+        self.recent: deque[bytes] = deque(maxlen=MAX_REMEMBERED_LINES)  # digests
+
+    def accepts(self, version: int, line: bytes) -> bool:
+        """Whether a line is newer than those before it, or the newest again. Raises `VersionsFell` for one
+        that is older and no copy of a recent line."""
+        digest = hashlib.blake2b(line, digest_size=DIGEST_BYTES).digest()
+        if self.newest is not None and version < self.newest:
+            if digest in self.recent:
+                return False
+            raise VersionsFell(f"version {version} behind {self.newest}")
+        self.newest = version
+        self.recent.append(digest)
+        return True
+
+
 class Watch:
     """Keeps a watch open from the last known version and passes each update to `on_update`."""
 
@@ -206,6 +235,7 @@
     ) -> None:
         self.address, self.version, self.on_update = address, version, on_update
         self.silence_s, self.schedule = silence_s, ReconnectSchedule(chance, dispatchers)
+        self.repeated_lines = 0  # older lists that came again behind newer ones
 
     def move(self, address: tuple[str, int]) -> None:
         """Use this address from the next `run` on, which connects at once from the last known version."""
@@ -289,7 +319,7 @@
 
     async def read_updates(self, connection: Connection) -> None:
         """Read the watch until it breaks (raises the error) or falls silent (raises `WatchSilent`)."""
-        framer = JsonFramer()
+        framer, stream = JsonFramer(), ListStream()
         while True:
             # Only complete items count as a sign of life, not the bytes of one that trickles in.
             try:
@@ -301,7 +331,7 @@
             self.schedule.reset()
             for line in lines:
                 if line:
-                    self.handle_update(line)
+                    self.handle_update(line, stream)
 
     @staticmethod
     async def read_objects(connection: Connection, framer: JsonFramer) -> list[bytes]:
@@ -310,10 +340,16 @@
             raise ConnectionError("discovery closed the watch")
         return framer.feed(bytes(event.data))
 
-    def handle_update(self, line: bytes) -> None:
+    def handle_update(self, line: bytes, stream: ListStream) -> None:
         update = json.loads(line)
         if not isinstance(update.get("version"), int) or not isinstance(update.get("servers"), list):
             raise ValueError(f"discovery update lacks version or servers: {line[:80]!r}")
+        if not stream.accepts(update["version"], line):
+            self.repeated_lines += 1
+            log.info(
+                "an older list came again", extra={"version": update["version"], "newest": stream.newest}
+            )
+            return
         self.on_update(update)
         self.version = update["version"]
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -73,6 +73,43 @@
         discovery.JsonFramer().feed(data)
 
 
+def test_an_older_list_that_comes_again_behind_a_newer_one_is_not_applied():
+    @with_watch()
+    async def _(platform, updates):
+        request = await platform.next()
+        request.start_watch()
+        older, newer = json.dumps(update(42)), json.dumps(update(43))
+        for text in (older, newer, older, older, newer, json.dumps(update(44))):
+            request.chunk(text)
+        assert [(await updates.get())["version"] for _ in range(4)] == [42, 43, 43, 44]
+        assert not await asyncio.sleep(0) and platform.requests.empty()
+
+
+def test_a_discovery_that_begins_anew_is_believed():
+    # On a new watch its first line counts; on one that goes on, the watch is opened anew.
+    @with_watch()
+    async def _(platform, updates):
+        request = await platform.next()
+        request.start_watch()
+        request.chunk(json.dumps(update(43)))
+        request.chunk(json.dumps(update(2) | {"full": True}))
+        again = await platform.next()
+        assert again.target.endswith("from=43") and await request.ended()
+        again.start_watch()
+        again.chunk(json.dumps(update(2) | {"full": True}))
+        again.chunk(json.dumps(update(3)))
+        assert [(await updates.get())["version"] for _ in range(3)] == [43, 2, 3]
+
+
+def test_a_copy_that_is_no_longer_remembered_opens_the_watch_anew():
+    stream = discovery.ListStream()
+    for version in range(discovery.MAX_REMEMBERED_LINES + 1):
+        assert stream.accepts(version, b"%d" % version)
+    assert not stream.accepts(1, b"1")
+    with pytest.raises(discovery.VersionsFell):
+        stream.accepts(0, b"0")
+
+
 def test_an_indented_list_is_read_from_a_watch():
     @with_watch()
     async def _(platform, updates):
