A planner counts a forwarder's report once, by its number

A report that came again on a connection was counted again, in the limit that the planner learns; its number was not looked at.

Change: the last 64 numbers of a connection are remembered; one that comes again gets no answer, which the forwarder does not wait for. One that comes late and for the first time counts as before. test_a_report_that_comes_again_is_counted_once; 46 tests of the planners' wire and discovery pass.

--- a/rushhitch/planning/server.py
+++ b/rushhitch/planning/server.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import signal
+from collections import deque
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -21,6 +22,7 @@
 HANDSHAKE_TIMEOUT_S = 2.0  # then an unauthenticated connection is closed
 IDLE_TIMEOUT_S = 10.0  # then a silent forwarder is disconnected
 MAX_CONNECTIONS = 2_000
+MAX_REMEMBERED_REPORTS = 64  # of a connection, to ignore one that comes again
 MAX_UNSENT_BYTES = 8_388_608  # of answers; a forwarder that leaves more unread is disconnected
 
 
@@ -32,6 +34,7 @@
         self.link = Link(Role.PLANNER, server.planner.name, server.secret)
         self.loop = asyncio.get_running_loop()
         self.heard_at = self.loop.time()
+        self.recent_reports: deque[int] = deque(maxlen=MAX_REMEMBERED_REPORTS)  # numbers
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport: asyncio.Transport = transport  # type: ignore[assignment]
@@ -61,6 +64,10 @@
             report = decode_report(payload)
             if report.forwarder != self.link.peer:
                 raise WireError(f"{self.link.peer} reports as {report.forwarder!r}")
+            if report.number in self.recent_reports:
+                log.info("report %d of %s came again", report.number, self.link.peer)
+                return
+            self.recent_reports.append(report.number)
             answer = self.server.planner.handle(self.loop.time() * 1000.0, report)
             if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
                 raise WireError("it does not take its answers")
--- a/tests/test_planning_wire.py
+++ b/tests/test_planning_wire.py
@@ -221,6 +221,23 @@
         assert sum(shares) >= 0.98 * limit.per_s and jain(shares) >= 0.95
 
 
+def test_a_report_that_comes_again_is_counted_once():
+    @played
+    async def _(server, address):
+        forwarder = Forwarder(address)
+        await forwarder.told.get()
+        forwarder.client.tasks[-1].cancel()  # its own reports
+        counted, handle = [], server.planner.handle
+        server.planner.handle = lambda now, report: counted.append(report.number) or handle(now, report)
+        (link,) = forwarder.client.links
+        for number in (1_000, 1_001, 1_000, 1_000, 999, 1_001, 1_002):
+            link.report(Report("f1", number, 250.0, [], []))
+        while 1_002 not in counted:
+            await asyncio.sleep(0.01)
+        assert counted == [1_000, 1_001, 999, 1_002]
+        forwarder.client.stop()
+
+
 def test_one_forwarder_does_not_report_for_another():
     @played
     async def _(server, address):
