--- a/lab/soak.py
+++ b/lab/soak.py
@@ -29,6 +29,9 @@
 LEAVING_PER_S = 0.6  # likewise of those that leave before they have heard
 MANY_LEAVE_PER_S = 3.0  # likewise on a day of many of them
 MANY_LEAVE_SHARE = 0.3  # of the runs are such days
+REPEATS_SHARE = 0.7  # of the runs have answers and lists that come again
+MAX_REPEATS = 0.15  # share of what is sent that does, at most
+MAX_REFUSED_NOTICES = 0.3  # share of the notices that the platform refuses on such a run, at most
 CROWDED_SHARE = 0.3  # of the runs have a crowd
 CROWDED, CROWDED_SOCKETS = 3, 160  # so many dispatchers of these, with so few descriptors
 ALWAYS = (
@@ -152,6 +155,18 @@
     return MANY_LEAVE_PER_S if many else LEAVING_PER_S
 
 
+def repeats_of(soak: Soak) -> list[Fault]:
+    """What comes again, for all of the run; by a chance of its own, as `leaving_of`."""
+    chance = random.Random(f"repeats {soak.seed}")
+    if chance.random() >= REPEATS_SHARE:
+        return []
+    shares = {stream: chance.uniform(0.0, MAX_REPEATS) for stream in ("answers", "notices", "lists")}
+    return [
+        Fault(0.0, "repeat", faults=dict(shares)),
+        Fault(0.0, "refuse_notices", factor=chance.uniform(0.0, MAX_REFUSED_NOTICES)),
+    ]
+
+
 def scenario_of(soak: Soak) -> Scenario:
     """The run that a seed stands for."""
     chance = random.Random(f"soak {soak.seed}")
@@ -180,7 +195,7 @@
         classes=classes,
         partners=partners,
         load=load,
-        faults=faults,
+        faults=faults + (repeats_of(soak) if not soak.only else []),
         slots=chance.choice((8, 16)),
         max_held=chance.choice((20, 60, 200)),
         sync=soak.sync,
--- a/tests/test_lab_soak.py
+++ b/tests/test_lab_soak.py
@@ -18,7 +18,8 @@
 
 def test_every_kind_of_fault_comes_and_many_overlap():
     faults = [fault for seed in range(30) for fault in scenario_of(Soak(seed, extra=EXTRA)).faults]
-    assert {fault.what for fault in faults} == set(ALWAYS) - {"stall"} | set(EXTRA) <= set(WHATS)
+    repeats = {"repeat", "refuse_notices"}
+    assert {fault.what for fault in faults} == set(ALWAYS) - {"stall"} | set(EXTRA) | repeats <= set(WHATS)
     scenario = scenario_of(Soak(1))
     overlaps = sum(
         one.at < other.at < one.at + min(one.seconds, 2.0)
@@ -35,6 +36,12 @@
     assert {scenario.sockets for scenario in scenarios} == {1024, soak.CROWDED_SOCKETS}
 
 
+def test_in_some_short_soaks_answers_and_lists_come_again():
+    scenarios = [scenario_of(Soak(seed, PROCESSES, SECONDS)) for seed in SEEDS]
+    repeats = [fault for scenario in scenarios for fault in scenario.faults if fault.what == "repeat"]
+    assert 0 < len(repeats) < len(SEEDS)
+
+
 def test_in_every_short_soak_clients_leave_and_in_some_many_do():
     rates = {scenario_of(Soak(seed, PROCESSES, SECONDS)).leaving_per_s for seed in SEEDS}
     assert rates == {soak.LEAVING_PER_S, soak.MANY_LEAVE_PER_S}
