The log lines of endpoint connections stand in a module of their own

Change: rushhitch/exchange_log.py has the lines, the fields and the reasons of closes; endpoints.py calls them.

--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -11,12 +11,12 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
-from enum import StrEnum
 
 import h11
 
 from crowpier.interface import Outcome, Settings, State
 from rushhitch.connection import Connection, Headers, NotSent
+from rushhitch.exchange_log import CloseReason, log_closed, log_exchange, log_unrequested
 from rushhitch.exchanges import ReusePolicy
 from rushhitch.partners.codec import Attempt, AttemptResult, Codec, ResultsById
 from rushhitch.partners.platform import Platform, result_from_head
@@ -32,7 +32,6 @@
 SHUTDOWN_READ_LIMIT_S = 0.05  # at shutdown: an endless answer is read no longer than this
 QUIET_LOOP_ITERATIONS = 3  # loop iterations until data read from a socket has reached its call
 IDLE_TIMEOUT_MARGIN = 0.1  # fraction of the idle timeout in which a connection is no longer reused
-MAX_LOGGED_BYTES = 80  # of received bytes, in a log line
 PLATFORM = Platform()
 DESCRIPTORS_EXHAUSTED = (errno.EMFILE, errno.ENFILE)
 
@@ -90,28 +89,9 @@
     connection: Connection | None = None  # once established
 
 
-class CloseReason(StrEnum):
-    """Why a connection to an endpoint is closed, for the log."""
-
-    BANNED = "banned"  # by operators, or another process continues
-    BROKEN = "broken"  # before its request was written
-    ENDED = "ended"  # its exchange cannot be followed by another
-    ENDPOINT_CHANGED = "endpoint changed"
-    EVICTED = "evicted"
-    FROZEN = "frozen"
-    IDLE = "idle"
-    INPUT = "input"  # closed by the endpoint, or unrequested bytes
-    OUT_OF_STEP = "out of step"  # the endpoint has sent an answer that belonged to no request
-
-
 StartCallback = Callable[[list[Attempt]], None]  # called with the attempts of a call that may be written
 
 
-def first_line(data: bytes) -> str:
-    """The first line of received bytes, shortened, for the log."""
-    return data.partition(b"\r\n")[0][:MAX_LOGGED_BYTES].decode("latin-1")
-
-
 def start_by(attempts: list[Attempt]) -> float:
     """The latest time to start the call: the earliest start deadline of its attempts."""
     return min(attempt.start_by for attempt in attempts)
@@ -287,24 +267,12 @@
         """An endpoint sent something that no request had asked for: count and log it, and use none of its
         connections twice for a while."""
         self.unrequested += 1
-        log.info(
-            "unrequested answer from an endpoint",
-            extra=self.fields(endpoint, connection) | {"first_line": first_line(data)},
-        )
+        log_unrequested(endpoint, connection, data)
         self.reuse.note_unrequested(endpoint, data, self.loop.time())
         if self.reuse.is_suspended(endpoint, self.loop.time()):
             for entry in list(self.idle.get(endpoint, ())):
                 self.drop_idle(endpoint, entry, CloseReason.OUT_OF_STEP)
 
-    @staticmethod
-    def fields(endpoint: str, connection: Connection) -> dict[str, object]:
-        """Log fields: the endpoint, the connection, and the number of its latest request."""
-        return {
-            "endpoint": endpoint,
-            "connection": connection.serial,
-            "request": connection.exchanges.requests,
-        }
-
     def close_idle(self, endpoint: str, reason: CloseReason = CloseReason.IDLE) -> None:
         for entry in list(self.idle.get(endpoint, ())):
             self.remove_idle(endpoint, entry)
@@ -313,8 +281,7 @@
     def close(self, endpoint: str, connection: Connection, reason: CloseReason) -> None:
         connection.close()
         self.connections -= 1
-        if log.isEnabledFor(logging.DEBUG):
-            log.debug("connection closed", extra=self.fields(endpoint, connection) | {"reason": reason})
+        log_closed(endpoint, connection, reason)
 
     async def connect(self, endpoint: str) -> Connection:
         if self.connections >= self.max_connections:
@@ -503,7 +470,8 @@
         connection.on_response_start = connection.on_unattributed = None
         unused = broken is Outcome.NOT_EXECUTED and not call.aborted  # an aborted call may be partly written
         call.kept = connection.prepare_next_request() if connection.written else unused
-        self.log_exchange(connection, call, broken)
+        took_s = self.loop.time() - call.started
+        log_exchange(call.endpoint, connection, call.ids, took_s, broken.name.lower(), call.kept)
         if connection.exchanges.ended_unmarked:
             self.reuse.note_unmarked(call.codec)
         if call.kept:
@@ -513,19 +481,6 @@
             self.note_unrequested(call.endpoint, connection, data)
         self.close(call.endpoint, connection, CloseReason.ENDED)
 
-    def log_exchange(self, connection: Connection, call: Call, broken: Outcome) -> None:
-        """Log a request with its connection and the start of its answer, at debug level."""
-        if not log.isEnabledFor(logging.DEBUG):
-            return
-        fields = {
-            "ids": b",".join(call.ids).decode("latin-1"),
-            "took_ms": round((self.loop.time() - call.started) * 1000.0),
-            "written": connection.written,
-            "answer": first_line(connection.response_start) or broken.name.lower(),
-            "kept": call.kept,
-        }
-        log.debug("exchange ended", extra=self.fields(call.endpoint, connection) | fields)
-
     @staticmethod
     def broken_call_end(connection: Connection | None, call: Call, broken: Outcome) -> AttemptResult:
         """The end of each message of a call without a complete answer."""
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -26,6 +26,7 @@
     "rushhitch.process",
     "rushhitch.signals",
     "rushhitch.config",
+    "rushhitch.exchange_log",
     "rushhitch.connection",
     "rushhitch.exchanges",
     "rushhitch.control",
