--- a/lab/http.py
+++ b/lab/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Callable
@@ -97,7 +98,8 @@
         self.transport.write(before + data + (data if way == "at_once" else b""))
         self.used_ms = self.clock()
         if self.last:
-            self.transport.write_eof()
+            with contextlib.suppress(OSError):  # the client has reset the connection
+                self.transport.write_eof()
         elif way is not None:
             self.repeat(data, way)
 
