A first line with 200 that may be a copy's ends a message's calls

It proves no delivery, since a copy may break off there; but calling again breaks the sentence on messages whose end was told, where it was the true answer.

Fix: no further call, as where an answer comes too late: the message ends as failed, which is harmless if it was delivered.

--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -488,11 +488,12 @@
             return AttemptResult(Outcome.NOT_EXECUTED)
         if connection is None or not connection.written:
             return AttemptResult(broken if broken is Outcome.CANCELLED else Outcome.CONNECT_FAILED)
-        counts = len(call.ids) == 1 and connection.exchanges.first_line_counts
-        if counts and call.codec.delivered(connection.response_start):
+        delivered = len(call.ids) == 1 and call.codec.delivered(connection.response_start)
+        if delivered and connection.exchanges.first_line_counts:
             call.later = call.codec.expects_acknowledgement(int(connection.response_start[9:12]))
             return AttemptResult(Outcome.OK, delivered=True)
-        final = call.codec.final(connection.response_start)
+        # A first line that may be a copy's proves no delivery, but most probably the message was delivered.
+        final = delivered or call.codec.final(connection.response_start)
         if broken is Outcome.TIMEOUT and connection.response_start:
             return AttemptResult(Outcome.ERROR, final=final)  # its answer began and did not end
         return AttemptResult(broken, final=final)
