Lab: no reply is noted that was written behind the close of its connection

Cause, by the histories kept: the dispatcher gives a call up at its time limit and closes; the endpoint of the lab writes its answer before its event loop has seen that close, and the history has the answer as told, with the end of the connection 0.02 to 7 ms behind it. There are two cases in this. In one the close was first: nobody can have read the answer. This commit is about that one.

Mend: the endpoint asks the kernel (POLLRDHUP) before it answers a call that it has worked on. It is no narrowing of the rule by a span of time: what was written before the close counts as told, as before.

Test: it fails without the change (the history has a reply).

--- a/lab/http.py
+++ b/lab/http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -135,6 +136,13 @@
         """Whether the last answer has been written, behind which nothing can be sent."""
         return self.last and self.state is None
 
+    def closed_by_client(self) -> bool:
+        """Whether the client has closed already, though the event loop may not have told yet: it will never
+        read what is written from now on."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))  # hang-ups and errors are told unasked
+
     def reset(self) -> None:
         """End the connection with an RST."""
         sock = self.transport.get_extra_info("socket")
--- a/lab/partners.py
+++ b/lab/partners.py
@@ -439,6 +439,8 @@
         connection, faults = call.request.connection, endpoint.lane.faults
         if connection.state != call.number or faults.silent:  # given up, or nothing is said any more
             return
+        if connection.closed_by_client():  # given up: `lost` is about to be called
+            return
         connection.state = None
         connection.answered = None if endpoint.spec.acknowledges_ms else call.number
         roll = self.chance.random()
--- a/tests/test_lab_partners.py
+++ b/tests/test_lab_partners.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import inspect
+import socket
 
 import pytest
 
@@ -222,3 +223,19 @@
 async def test_there_are_no_probes_where_the_settings_allow_none(caller):
     caller.writer.write(b"GET /alive HTTP/1.1\r\n\r\n")
     assert (await caller.read())[0] == 404
+
+
+@with_partner()
+async def test_an_answer_that_is_written_behind_the_close_of_its_connection_is_told_to_nobody(caller):
+    port, done = caller.partners.endpoints["bank-1"].port("d0"), caller.partners.done
+
+    def done_behind_close(call):
+        client.close()  # the event loop of the endpoint has had no time to see it
+        done(call)
+
+    caller.partners.done = done_behind_close
+    with socket.create_connection(("127.0.0.1", port)) as client:
+        client.sendall(b"POST /receive HTTP/1.1\r\nX-Correlation-Id: m1\r\nContent-Length: 0\r\n\r\n")
+        while "gone" not in (whats := [event["what"] for event in caller.history.events]):
+            await asyncio.sleep(0.001)
+    assert whats == ["endpoint", "call", "gone"]
