A call that is given up is ended by its answer, if that has arrived

Cause: a time-out, or the decision to cancel, ended the call's task without a look at the socket. An event loop that runs late handles its timers before its sockets, so it closed over answers that were up to 7 ms old. And `loop.sock_recv` reads before its task runs: a cancellation between the two loses the bytes that were read.

Change: `Connection.receive` reads in the step in which it returns, so that a cancellation loses nothing. A message of a batch that is given up over such an answer is ended by it; if it turns out to be none, it is given up 50 ms later. Results behind the client's time prove no more than before (`Node.attempt_ended`).

--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -153,7 +153,7 @@
         while True:
             event = self.http.next_event()
             if event is h11.NEED_DATA:
-                data = await self.loop.sock_recv(self.sock, READ_BYTES)
+                data = await self.receive()
                 if not data and not self.response_start:
                     raise ConnectionResetError("connection closed before the response")
                 if len(self.response_start) < MAX_RESPONSE_START_BYTES:
@@ -167,6 +167,24 @@
             else:
                 raise h11.RemoteProtocolError(f"unexpected HTTP event instead of a response: {event!r}")
 
+    async def receive(self) -> bytes:
+        """The next bytes, none once the peer has closed. Unlike the event loop's `sock_recv`, it loses none
+        when it is cancelled: they are read in the step in which they are returned."""
+        while True:
+            try:
+                return self.sock.recv(READ_BYTES)
+            except (BlockingIOError, InterruptedError):
+                await self.wait_readable()
+
+    async def wait_readable(self) -> None:
+        """Wait until the socket is readable."""
+        ready = self.loop.create_future()
+        self.loop.add_reader(self.sock, lambda: ready.done() or ready.set_result(None))
+        try:
+            await ready
+        finally:
+            self.loop.remove_reader(self.sock)
+
     def note_response_start(self, data: bytes) -> None:
         """Keep the first bytes of the response: its status line is valid even if h11 rejects the rest."""
         first, self.response_start = (
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -30,6 +30,7 @@
     2.0  # margin before a start deadline, in `last_byte_delay_s`: for the check and for sending the last byte
 )
 SHUTDOWN_READ_LIMIT_S = 0.05  # at shutdown: an endless answer is read no longer than this
+ARRIVED_ANSWER_S = 0.05  # to read an answer that has arrived as its call is given up
 QUIET_LOOP_ITERATIONS = 3  # loop iterations until data read from a socket has reached its call
 IDLE_TIMEOUT_MARGIN = 0.1  # fraction of the idle timeout in which a connection is no longer reused
 PLATFORM = Platform()
@@ -352,7 +353,10 @@
         call = self.calls.get((message, number))
         if call is None:
             return
-        if len(call.open) > 1:
+        if len(call.open) > 1 and self.has_unread_answer(call):
+            # Most probably the answer ends it; an interim response, or a copy that is passed over, does not.
+            self.loop.call_later(ARRIVED_ANSWER_S, self.cancel, message, number)
+        elif len(call.open) > 1:
             self.end(call, call.open[message, number], AttemptResult(Outcome.CANCELLED))
         elif call.task is not None:
             call.task.cancel()
@@ -431,6 +435,8 @@
         except Exception:
             log.exception("call to %s failed", call.endpoint)
         finally:
+            if broken in (Outcome.TIMEOUT, Outcome.CANCELLED):
+                ends = await self.read_arrived_answer(call)
             if connection is not None:
                 self.finish_exchange(connection, call, broken)
             if ends is not None:
@@ -587,6 +593,30 @@
             }
         return ends
 
+    @staticmethod
+    def has_unread_answer(call: Call) -> bool:
+        """Whether an answer, or its start, has arrived of which nothing has been read."""
+        connection = call.connection
+        if connection is None or not call.written or connection.response_start:
+            return False
+        return not connection.has_no_input()
+
+    async def read_arrived_answer(self, call: Call) -> ResultsById | None:
+        """The answer to a call that is given up, if it has arrived and the event loop had no time to read it.
+        Unread, a message that was delivered would be sent again, or end as failed."""
+        connection = call.connection
+        if connection is None or not self.has_unread_answer(call):
+            return None
+        try:
+            async with asyncio.timeout(ARRIVED_ANSWER_S) as limit:
+                self.follow_response(connection, call, limit)
+                return await self.read_answer(connection, call)
+        except (TimeoutError, asyncio.CancelledError, OSError, h11.ProtocolError) as error:
+            log.debug("no whole answer from %s as its call was given up: %r", call.endpoint, error)
+        except Exception:
+            log.exception("reading the answer from %s failed", call.endpoint)
+        return None
+
     def heed_wait(self, call: Call, wait_ms: float) -> None:
         """Send nothing to the lane of the call for so long."""
         call.wait = wait_ms
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import socket
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -20,6 +21,7 @@
 from rushhitch.connection import Connection
 from rushhitch.core.node import Node
 from rushhitch.core.state_transfer import StateTransfer
+from rushhitch.endpoints import ARRIVED_ANSWER_S
 from rushhitch.journal import Journal
 
 SYN_SENT = "02"  # connection state in /proc/net/tcp
@@ -219,6 +221,72 @@
     run(work())
 
 
+@pytest.mark.parametrize("status", [200, 503])
+@pytest.mark.parametrize("end", ["cancel", "timeout"])
+def test_answer_that_arrived_before_its_call_was_given_up_counts(status, end):
+    # Given up unread, a delivered message would be sent again or end as failed.
+    async def work():
+        caller = await Caller().start()
+        caller.send(1, patience=0.3)
+        request = await caller.partner.next()
+        request.answer(status)  # it is in the caller's socket, and the loop has not looked there yet
+        if end == "cancel":
+            caller.endpoints.cancel(1, 0)
+        else:
+            time.sleep(0.35)  # the loop is held up past the deadline
+        assert await caller.result() == (Outcome.OK if status == 200 else Outcome.FULL, status == 200, 0.0)
+
+    run(work())
+
+
+@pytest.mark.parametrize("cancelled", [(), (1,), (2,), (1, 2)])
+def test_batch_answer_that_arrived_before_its_messages_were_given_up_counts_for_each(cancelled):
+    async def work():
+        caller = await Caller().start(batch=20)
+        caller.send(1, 2, patience=0.3)
+        request = await caller.partner.next()
+        request.answer(200, b"m1 accepted\r\nm2 deferred\r\n")
+        for message in cancelled:
+            caller.endpoints.cancel(message, 0)
+        if not cancelled:
+            time.sleep(0.35)  # the loop is held up past the deadline
+        ends = [await caller.result(), await caller.result()]
+        assert ends == [(Outcome.OK, True, 0.0), (Outcome.FULL, False, 0.0)]
+
+    run(work())
+
+
+def test_a_message_of_a_batch_is_given_up_behind_bytes_that_are_no_answer():
+    async def work():
+        caller = await Caller().start(batch=20)
+        caller.send(1, 2)
+        request = await caller.partner.next()
+        request.writer.write(b"HTTP/1.1 100 x\r\n\r\n")
+        caller.endpoints.cancel(1, 0)
+        assert await caller.result() == (Outcome.CANCELLED, False, 0.0)
+
+    run(work())
+
+
+@pytest.mark.parametrize("end", ["cancel", "timeout"])
+@pytest.mark.parametrize("part", [b"", b"HTTP/1.1 5", b"HTTP/1.1 500 x\r\nContent-Length: 9\r\n\r\n"])
+def test_a_call_that_is_given_up_waits_for_no_rest_of_its_answer(part, end):
+    async def work():
+        caller = await Caller().start()
+        caller.send(1, patience=0.3)
+        request = await caller.partner.next()
+        request.writer.write(part)
+        began = time.monotonic()
+        if end == "cancel":
+            caller.endpoints.cancel(1, 0)
+        ends = {Outcome.CANCELLED} if end == "cancel" else {Outcome.TIMEOUT, Outcome.ERROR}
+        assert (await caller.result())[0] in ends
+        assert time.monotonic() - began < 0.3 + 2 * ARRIVED_ANSWER_S
+        assert await request.ended()
+
+    run(work())
+
+
 def test_attempts_that_are_not_recorded_are_not_sent():
     async def work():
         caller = await Caller().start(batch=4)
