Lab: the end of a process is noted by a thread, however late the event loop is

The rule lets a process that is killed within 250 ms behind an answer have had no time to record it.

Cause: the lab noted the end of a process two steps of its event loop behind the end of its log. While it starts twelve others, each of these steps takes a fork or more, so that the end could be noted over 250 ms late.

Change: a thread for each process waits for its pidfd and takes the time. The span of 250 ms stays as it was.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -7,8 +7,10 @@
 import json
 import math
 import os
+import select
 import signal
 import sys
+import threading
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -38,6 +40,27 @@
             os.kill(process.pid, number)
 
 
+class EndTime:
+    """When a process ended, by the clock that is given; `at` is infinite until then. A thread of its own
+    waits for it, since the event loop may be late."""
+
+    def __init__(self, pid: int, clock: Callable[[], float]) -> None:
+        self.clock, self.at = clock, math.inf
+        try:
+            descriptor = os.pidfd_open(pid)
+        except ProcessLookupError:  # it has ended and been waited for
+            self.at = clock()
+            return
+        threading.Thread(target=self.wait, args=(descriptor,), daemon=True).start()
+
+    def wait(self, descriptor: int) -> None:
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        poll.poll()
+        self.at = self.clock()
+        os.close(descriptor)
+
+
 class Dispatcher:
     """One dispatcher's process, its folder and its configuration."""
 
@@ -107,7 +130,8 @@
             env=env,
             stderr=asyncio.subprocess.PIPE,
         )
-        self.reading = asyncio.get_running_loop().create_task(self.read(self.process))
+        end_time = EndTime(self.process.pid, self.history.now)
+        self.reading = asyncio.get_running_loop().create_task(self.read(self.process, end_time))
 
     async def upgrade(self) -> None:
         """Start another beside it, wait for its yes, tell the old one to end: to clients, one dispatcher."""
@@ -146,9 +170,8 @@
         finally:
             writer.close()
 
-    async def read(self, process: asyncio.subprocess.Process) -> float:
-        """Follow its log to the end; when that came, by the history's clock. The system ends the log and the
-        connections of a process together, and tells of its end itself at its leisure."""
+    async def read(self, process: asyncio.subprocess.Process, end_time: EndTime) -> float:
+        """Follow its log to the end; when it ended, by the history's clock."""
         assert process.stderr is not None
         while line := await process.stderr.readline():
             self.log.write(line)
@@ -160,8 +183,9 @@
                 self.port = int(line.split(b" is ready on ")[1].split(b",")[0].rpartition(b":")[2])
                 self.serving = process
                 self.ready.set()
-        died_at = self.history.now()
+        log_ended_at = self.history.now()
         code = await process.wait()
+        died_at = min(log_ended_at, end_time.at)
         if process is self.process:
             self.history.add("ended", at=died_at, dispatcher=self.name, kill=code == -signal.SIGKILL)
             self.serves(self.name, None)
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -1,8 +1,11 @@
 """The lab with a real dispatcher: faults happen, the rules checker finds nothing; scenarios are checked."""
 
 import asyncio
+import math
 import re
+import subprocess
 import sys
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -12,6 +15,7 @@
 from lab.clients import Ask
 from lab.demo import DEMO
 from lab.history import History
+from lab.processes import EndTime
 from lab.report import failed_unrun, pressure, told_over
 from lab.rude_clients import LeavingClients, RudeClients
 from lab.rules import Broken, check
@@ -330,6 +334,20 @@
     assert played.sound and played.total.open == 0, "\n".join(map(str, [*played.crashed, *played.broken]))
 
 
+def test_the_end_of_a_process_is_noted_as_it_comes_and_not_as_it_is_asked_for():
+    with subprocess.Popen(["sleep", "60"]) as process:
+        end_time = EndTime(process.pid, time.monotonic)
+        assert end_time.at == math.inf
+        process.kill()
+        process.wait()
+        while end_time.at == math.inf:
+            time.sleep(0.001)
+        noted_at = end_time.at
+        time.sleep(0.01)
+        assert end_time.at == noted_at
+    assert EndTime(process.pid, lambda: 7.0).at == 7.0, "one that is gone has ended by now"
+
+
 def test_a_run_that_fails_prints_the_command_that_plays_it_again(tmp_path, monkeypatch, capsys):
     path = tmp_path / "short.toml"
     path.write_text(SHORT)
