A wait is heeded even if the answer that tells it may be a copy

What callers would see: an endpoint that does not mark the answer to a last request told "429, come back in 350 ms" in it, and was called again at once.

Cause: an answer that belongs to no request is passed over whole. As proof it counts for nothing; but its wait may be the endpoint's only word, and to heed a copy's wait costs the rest of that wait at most.

Change: the wait of a passed-over answer holds for the lane, and is told with the outcome of the call; of several the longest counts.

--- a/rushhitch/connection.py
+++ b/rushhitch/connection.py
@@ -54,8 +54,8 @@
         self.serial, self.exchanges = next(SERIALS), ExchangeSequence()
         self.written, self.response_start, self.interim_count = False, b"", 0
         self.on_response_start: Callable[[], None] | None = None  # called as the final response begins
-        # Called with the start of a response that belongs to no request and was passed over.
-        self.on_unattributed: Callable[[bytes], None] | None = None
+        # Called with a response that belongs to no request and was passed over, and its first bytes.
+        self.on_unattributed: Callable[[h11.Response, bytes], None] | None = None
 
     @classmethod
     async def open(cls, address: tuple[str, int]) -> Connection:
@@ -207,9 +207,9 @@
             if self.exchanges.accept(closes_connection(event)):
                 return event
             await self.body(MAX_UNATTRIBUTED_BYTES)
-            self.pass_over_response()
+            self.pass_over(event)
 
-    def pass_over_response(self) -> None:
+    def pass_over(self, response: h11.Response) -> None:
         """The response that was read belongs to no request: expect that to the latest request behind it.
         Raises `h11.RemoteProtocolError` after too many."""
         if self.exchanges.unattributed > MAX_UNATTRIBUTED_RESPONSES:
@@ -220,7 +220,7 @@
         self.http.send(h11.EndOfMessage())
         self.response_start, self.interim_count = b"", 0
         if self.on_unattributed is not None:
-            self.on_unattributed(start)
+            self.on_unattributed(response, start)
         if rest:
             self.note_response_start(rest)
             self.http.receive_data(rest)
--- a/rushhitch/endpoints.py
+++ b/rushhitch/endpoints.py
@@ -455,11 +455,13 @@
         return connection
 
     def follow_response(self, connection: Connection, call: Call, limit: asyncio.Timeout) -> None:
-        """Bound the time of the answer once it has begun; one that belongs to no request does not count."""
+        """Bound the time of the answer once it has begun. Of one that belongs to no request only the wait
+        counts: it may be the endpoint's only word."""
         stop = limit.when()
 
-        def unattributed(start: bytes) -> None:
+        def unattributed(response: h11.Response, start: bytes) -> None:
             limit.reschedule(stop)
+            self.heed_wait(call, call.codec.wait_ms(response, time.time()))
             self.note_unrequested(call.endpoint, connection, start)
 
         connection.on_response_start = lambda: self.limit_remaining_time(limit)
@@ -619,7 +621,7 @@
 
     def heed_wait(self, call: Call, wait_ms: float) -> None:
         """Send nothing to the lane of the call for so long."""
-        call.wait = wait_ms
+        call.wait = max(call.wait, wait_ms)
         if wait_ms:
             lane, until = self.entries[call.endpoint].lane, self.loop.time() + wait_ms / 1000.0
             self.retry_after[lane] = max(self.retry_after.get(lane, 0.0), until)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -111,6 +111,20 @@
         assert not over and not outcome.never_ran
 
 
+@pytest.mark.parametrize("own", [b"", LAST_OK])
+def test_a_wait_is_heeded_even_if_its_answer_may_be_a_copy(own):
+    # An endpoint that marks no answers tells its wait in no other.
+    @with_caller()
+    async def _(caller):
+        request = await second_call(caller)
+        request.writer.write(b"HTTP/1.1 429 x\r\nX-Come-Back-Ms: 350\r\nContent-Length: 0\r\n\r\n" + own)
+        request.writer.close()
+        _, over, wait_ms = await caller.result()
+        assert (over, wait_ms) == (bool(own), 350.0)
+        caller.send(3)
+        assert (await caller.results.get()).outcome is Outcome.NOT_EXECUTED
+
+
 def test_an_answer_that_breaks_off_counts_by_its_first_line_only_if_it_is_marked():
     @with_caller()
     async def _(caller):
