Lab: a bad client does not go on with a request on a connection that has ended

The client had sent half of a request to d5; d5 was killed at 5142 ms; the client wrote the rest, and so offered the message, at 5816 ms, before the next process of d5 served (6662 ms), and saw the end of the connection at 5917 ms.

Cause, by these times: the connection was that of the process that had died (none listened in between for the 0.05 to 1.2 s that lie between the halves). No request was written whole while the connection was open, so none was lost. The client of the lab that uses a connection again and again looks for its end first; this one did not.

Test: it fails without the change (an end in order and a reset).

--- a/lab/rude_clients.py
+++ b/lab/rude_clients.py
@@ -132,9 +132,11 @@
         cut = self.chance.randrange(1, len(request.data))
         writer.write(request.data[:cut])
         await asyncio.sleep(self.chance.uniform(*PIECES_S))
-        self.offered(request)
-        writer.write(request.data[cut:])
-        await self.answer(request.name, reader)
+        ended = reader.at_eof() or reader.exception() is not None
+        if not ended:  # else the rest would reach nobody
+            self.offered(request)
+            writer.write(request.data[cut:])
+            await self.answer(request.name, reader)
         writer.close()
 
     async def burst(self, dispatcher: str, port: int) -> None:
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -317,6 +317,28 @@
         assert ends[0] == "accepted" and broken == []
 
 
+@pytest.mark.parametrize("read_bytes", [1, 0])  # with bytes unread it is reset
+def test_the_rest_of_a_request_is_not_handed_in_on_a_connection_that_ended(tmp_path, monkeypatch, read_bytes):
+    monkeypatch.setattr("lab.rude_clients.PIECES_S", (0.05, 0.05))
+
+    async def serve(reader, writer):
+        writer.transport.pause_reading()
+        await asyncio.sleep(0.01)
+        writer.transport.resume_reading()
+        await reader.read(read_bytes)
+        writer.transport.abort()
+
+    async def work():
+        running = Run(parse(SHORT, "ended"), tmp_path, lambda text: None)
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        await RudeClients(running.clients, running.history, 1, [(2, "note", 3000.0)]).pieces("d0", port)
+        server.close()
+        return running.history.events
+
+    assert asyncio.run(asyncio.wait_for(work(), 30.0)) == []
+
+
 def test_what_a_client_gave_up_or_has_no_time_left_is_over(tmp_path):
     async def work():
         running = Run(parse(SHORT, "over"), tmp_path, lambda text: None)
