Lab: a safe message whose end a failing disk did not take may come again

The next process knows that the message was called, not that it was delivered, and calls it again.

Change: the history tells when the writes of a dispatcher fail. Let through is: answered 200, not of an unsafe class, writes failing from that answer until at most 300 ms (RECORDED_MS) before the end of that process, and sent only behind that end. All else breaks the rule as before: unsafe messages, 410 and 504, one process, a disk that fails later; each has its test, and the grant its step beyond. A disk that is full is not excused.

--- a/lab/history.py
+++ b/lab/history.py
@@ -19,6 +19,7 @@
 | `over` | the run has ended |
 | `ready`, `stopping`, `ended` | dispatcher: it serves; it was sent SIGTERM, or (`kill`) SIGKILL; it is gone |
 | `paused`, `resumed` | dispatcher: it was sent SIGSTOP, SIGCONT |
+| `disk_fails`, `disk_works` | dispatcher: from the first to the second its writes fail |
 """
 
 from __future__ import annotations
--- a/lab/rules.py
+++ b/lab/rules.py
@@ -19,6 +19,7 @@
 CROSSED_MS = 50.0  # a request that meets the close of its connection was written that soon before it is seen
 WAIT_SLACK_MS = 100.0  # after a told wait was written: calls that come within it were on their way
 SOCKET_SLACK_MS = 50.0  # time limits of the simulator are so much longer on sockets
+RECORDED_MS = 300.0  # after its disk works again: a dispatcher has written what it could not write before
 HELD_UP_MS = 150.0  # between a look at the clock, or at a connection, and the write that follows
 SEEN_SHARE = 2 / 3  # of the load that pushed a returning destination over: from those that saw its outage
 CHANCE_CALLS = 2.0  # a window on a returning destination may hold so many more, by chance
@@ -36,6 +37,8 @@
     " read, the client sends it once more; and each time limit is 50 ms longer",
     "WAIT_SLACK_MS": "protocol: calls that come within 100 ms of an answer that tells a wait are let through",
     "SOCKET_SLACK_MS": "protocol: the simulator's rules hold here, each time limit is 50 ms longer",
+    "RECORDED_MS": "protocol: a message that has been delivered and may be repeated is answered as delivered"
+    " once more if it comes again; terms: the folder may not take writes for a while",
     "HELD_UP_MS": "standing: a dispatcher that is held up for up to 0.15 s between reading its clock and"
     " writing: deadlines and windows allow for that",
     "SEEN_SHARE": "standing: a fall of which over two thirds came from dispatchers that had been told",
@@ -101,6 +104,7 @@
         self.told: defaultdict[tuple[str, str], list[Event]] = defaultdict(list)
         self.outages: defaultdict[str, list[list[float]]] = defaultdict(list)
         self.lives: defaultdict[str, list[Event]] = defaultdict(list)
+        self.disk_failures: defaultdict[str, list[tuple[float, float]]] = defaultdict(list)
         self.refused: list[Event] = []
         self.malformed: list[Event] = []
         self.left: dict[str, Event] = {}
@@ -191,6 +195,13 @@
 
     see_resumed = see_paused
 
+    def see_disk_fails(self, event: Event) -> None:
+        self.disk_failures[event["dispatcher"]].append((event["at"], math.inf))
+
+    def see_disk_works(self, event: Event) -> None:
+        spans = self.disk_failures[event["dispatcher"]]
+        spans[-1] = (spans[-1][0], event["at"])
+
     def see_over(self, event: Event) -> None:
         pass  # it tells until when others were watched
 
@@ -218,6 +229,19 @@
         )  # as its partner saw it, whenever the lab saw more
         return any(death - DEATH_MS <= call.done or connection_died for death in between)
 
+    def unrecorded(self, call: Call, name: str, by: float) -> bool:
+        """Whether the process that read the call's answer ended before `by`, and had no disk from that answer
+        on to record the end of the message, which may be delivered more than once."""
+        cls = self.classes.get(self.offers[name]["cls"])
+        if call.ends.get(name) != ACCEPTED or cls is None or cls.effect is Effect.UNSAFE:
+            return False
+        ends = [e["at"] for e in self.lives[call.dispatcher] if e["what"] == "ended"]
+        return any(
+            since <= call.done + SOCKET_SLACK_MS and call.done <= end <= min(by, until + RECORDED_MS)
+            for since, until in self.disk_failures[call.dispatcher]
+            for end in ends
+        )
+
     def died_unaware(self, name: str, left_at: float, by: float) -> bool:
         """Whether the process that accepted a message was killed before it had to know that its client had
         left, so that the next one finds it accepted and untried."""
@@ -310,13 +334,14 @@
 
 def sent_when_over(seen: Seen) -> Iterator[Broken]:
     """What a dispatcher sent again after it was told that it is over (200, 410, `expired`) or has had all its
-    attempts (504, `no_more`). A process that was killed may have left that answer unread."""
+    attempts (504, `no_more`). A process that was killed may have left that answer unread, and one whose disk
+    failed unrecorded."""
     for name, calls in seen.by_id.items():
         tellers = [c for c in calls if c.ends.get(name) in OVER and c.done < c.gone and not given_up(c, name)]
         for call in calls:
             for told in tellers:
                 knew = call.dispatcher == told.dispatcher and call.at > told.done + SOCKET_SLACK_MS
-                if knew and not seen.unread(told, call.at):
+                if knew and not (seen.unread(told, call.at) or seen.unrecorded(told, name, call.at)):
                     text = f"sent at {call.at:.0f} ms, told {told.ends[name]} at {told.done:.0f} ms"
                     yield Broken("lost", name, call.at, text)
                     break
--- a/lab/run.py
+++ b/lab/run.py
@@ -598,6 +598,7 @@
         self.dispatchers[fault.on].clock.unlink(missing_ok=True)
 
     def begin_disk_error(self, fault: Fault) -> None:
+        self.history.add("disk_fails", dispatcher=fault.on)
         self.dispatchers[fault.on].room.write_text("short" if fault.factor < 1.0 else "eio")
 
     def begin_disk(self, fault: Fault) -> None:
@@ -608,7 +609,9 @@
     def end_disk(self, fault: Fault) -> None:
         self.dispatchers[fault.on].room.unlink(missing_ok=True)
 
-    end_disk_error = end_disk
+    def end_disk_error(self, fault: Fault) -> None:
+        self.end_disk(fault)
+        self.history.add("disk_works", dispatcher=fault.on)
 
     def begin_burst(self, fault: Fault) -> None:
         self.factors[fault.on] = fault.factor
--- a/tests/test_lab_rules.py
+++ b/tests/test_lab_rules.py
@@ -741,7 +741,35 @@
     return killed_and_sent_again(1100, 1100 + rules.DEATH_MS + past, 3000)
 
 
+def delivered_on_a_failing_disk(past, cls="notice", end="accepted", fails=1040.0, kill=True):
+    story = Story()
+    story.taken(1000, cls=cls)
+    story.reply(1050, story.call(1010), end)
+    story.at(fails, "disk_fails", dispatcher="d0")
+    story.at(2000, "disk_works", dispatcher="d0")
+    story.at(2000 + rules.RECORDED_MS + past, "ended", dispatcher="d0", kill=kill)
+    story.at(3000, "ready", dispatcher="d0")
+    story.reply(3150, story.call(3100))
+    return story
+
+
+def test_an_end_that_a_failing_disk_did_not_take_is_excused_only_where_it_may_be_told_twice():
+    assert delivered_on_a_failing_disk(0.0, kill=False).broken() == []
+    for told in ({"cls": "payment"}, {"end": "expired"}, {"end": "no_more"}, {"fails": 1101.0}):
+        assert "lost m1" in delivered_on_a_failing_disk(0.0, **told).broken()
+
+
+def test_within_one_process_a_failing_disk_excuses_no_second_delivery():
+    story = Story()
+    story.taken(1000, cls="notice")
+    story.at(1000, "disk_fails", dispatcher="d0")
+    story.reply(1050, story.call(1010))
+    story.reply(1550, story.call(1500))
+    assert story.broken() == ["lost m1"]
+
+
 GRANTED = {
+    "RECORDED_MS": delivered_on_a_failing_disk,
     "HELD_UP_MS": called_behind_a_leave,
     "LOST_SLACK_MS": late,
     "RESTART_MS": late_after_restart,
