--- a/review/standin.py
+++ b/review/standin.py
@@ -199,6 +199,10 @@
         return fixed | {"cell": self.dest, "state": state, "weight": 1.0, "started_ms": 0}
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.CancelledError):  # as the case ends
+            await self.take_calls(reader, writer)
+
+    async def take_calls(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while (request := await read_request(reader, self.record)) is not None:
             name = request.headers.get("x-correlation-id", "?")
             if request.target == "/receive-many":
