--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 import os
 import signal
@@ -382,6 +383,13 @@
             "settings": told,
         }
 
+    def successor(self) -> Dispatcher:
+        """A second process for the same dispatcher, with another control address."""
+        other = copy.copy(self)
+        other.control, other.process = free_port(), None
+        other.config = self.config | {"control": f"{HOST}:{other.control}"}
+        return other
+
     def write(self) -> None:
         (self.folder / "config.json").write_text(json.dumps(self.config))
 
