Review case 7: clients and endpoints of keyed messages use the idempotency key

Need: the stand-ins should recognise repeats by the key of the message, as PROTOCOL has it in a batch. Change: k in OUT.ADD, Idempotency-Key at the endpoints.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,7 +17,7 @@
 
 
 class Zone:
-    """The endpoint of one building, which remembers keys for itself."""
+    """The endpoint of one building. It remembers the keys of messages, here their ids, for itself alone."""
 
     def __init__(self, name: str, record: rig.Record, fails: int) -> None:
         self.name, self.record, self.fails = name, record, fails
@@ -25,7 +25,7 @@
         self.ran: set[str] = set()
 
     async def handle(self, request: rig.Request) -> rig.Answer:
-        name = request.headers.get("x-correlation-id", "?")
+        name = request.headers.get("idempotency-key", "?")
         self.calls += 1
         status = 500 if self.calls % 10 < self.fails else 200
         how = "drops a repeat of" if name in self.ran else "runs"
@@ -63,7 +63,8 @@
 
     clients = rig.Clients(record, dispatcher.port)
     for number in range(MESSAGES):
-        await clients.send(f"transfer-{number}", "transfer", 3, LEFT_MS)
+        name = f"transfer-{number}"
+        await clients.send(name, "transfer", 3, LEFT_MS, more=f",k={name}")
         await asyncio.sleep(GAP_S)
     await asyncio.sleep(max(clients.accepted.values(), default=0.0) + 0.5 - record.now())
     if not clients.accepted or not zones[0].ran:
--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -26,6 +26,7 @@
 READY_S = 20.0  # until a dispatcher answers PING
 BEAT_S = 2.0  # between two empty lines of a watch
 HOST = socket.inet_ntoa((127 << 24 | 1 << 23 | os.getpid() & 0x3FFFFF).to_bytes(4, "big"))
+CLIENT_WAITS_S = 0.4  # for the answer to a message (PROTOCOL, clients to dispatchers)
 HELD = 0.3 + 0.05  # seconds past its time until a message without an end is lost (PROTOCOL, rules on sockets)
 ENTRY = {"zone": "a", "kind": "firms", "state": "SERVING", "weight": 1.0, "started_ms": 0}
 given: set[int] = set()
@@ -263,15 +264,15 @@
 
 
 async def hand_in(
-    port: int, name: str, cls: str, dest: int, left_ms: int, body: bytes = b"x", timeout_s: float = 0.4
+    port: int, name: str, cls: str, dest: int, left_ms: int, body: bytes = b"x", more: str = ""
 ) -> str:
     """One OUT.ADD on a connection of its own; the first line of the answer, empty without one."""
-    fields = f"c={cls},d={left_ms},dest={dest}".encode()
+    fields = f"c={cls},d={left_ms},dest={dest}{more}".encode()
     words = [b"OUT.ADD", b"0000000000000000", name.encode(), fields, body]
     data = b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
     writer = None
     try:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout(CLIENT_WAITS_S):
             reader, writer = await asyncio.open_connection(HOST, port)
             writer.write(data)
             return (await reader.readline()).decode().strip()
@@ -289,9 +290,11 @@
         self.record, self.port = record, port
         self.accepted: dict[str, float] = {}  # by id: when its time is up
 
-    async def send(self, name: str, cls: str, dest: int, left_ms: int, body: bytes = b"x") -> bool:
+    async def send(
+        self, name: str, cls: str, dest: int, left_ms: int, body: bytes = b"x", more: str = ""
+    ) -> bool:
         sent_at = self.record.add("client sends", name, f"c={cls} d={left_ms} dest={dest} {len(body)} bytes")
-        line = await hand_in(self.port, name, cls, dest, left_ms, body)
+        line = await hand_in(self.port, name, cls, dest, left_ms, body, more)
         self.record.add("client hears", name, line or "nothing")
         if line.startswith("+"):
             self.accepted[name] = sent_at + left_ms / 1000.0
