--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -159,10 +159,10 @@
         return f"{HOST}:{self.port}"
 
 
-async def post(
+async def ask(
     port: int, headers: dict[str, str], body: bytes = b"", timeout_s: float = 5.0
-) -> tuple[int, bytes]:
-    """POST to `/` on a connection of its own; the status (0 without an answer) and the body."""
+) -> tuple[int, dict[str, str], bytes]:
+    """POST to `/` on a connection of its own; the status (0 without an answer), its headers and the body."""
     writer = None
     try:
         async with asyncio.timeout(timeout_s):
@@ -171,14 +171,24 @@
             lines += [f"{name}: {value}" for name, value in headers.items()]
             writer.write("\r\n".join([*lines, "", ""]).encode() + body)
             head, _, rest = (await reader.read()).partition(b"\r\n\r\n")
-            return int(head.split(b" ")[1]), rest
+            first, *others = head.decode("latin-1").split("\r\n")
+            pairs = (line.partition(":") for line in others)
+            return int(first.split(" ")[1]), {name.lower(): value.strip() for name, _, value in pairs}, rest
     except (OSError, TimeoutError, IndexError, ValueError):
-        return 0, b""
+        return 0, {}, b""
     finally:
         if writer is not None:
             writer.close()
 
 
+async def post(
+    port: int, headers: dict[str, str], body: bytes = b"", timeout_s: float = 5.0
+) -> tuple[int, bytes]:
+    """The same, without the headers of the answer."""
+    status, _, text = await ask(port, headers, body, timeout_s)
+    return status, text
+
+
 def event_headers(source: str, name: str, kind: str, **attributes: str) -> dict[str, str]:
     """The headers of an event in binary mode."""
     found = {"specversion": "1.0", "source": source, "id": name, "type": kind, **attributes}
