Upgrade: a passed connection has its state before its transport, on every event loop

Cause: `ConnectionManager.adopt` awaited `connect_accepted_socket` and only then gave the connection the part of a request that the old process had read. asyncio happens to wake that task before it polls the socket; uvloop reads first. The loop's interface promises neither order. Change: `TransferredConnection` is set on the connection before there is a transport and taken in `connection_made`, behind which alone a loop may read. A connection that cannot be taken over abandons its unconfirmed messages where its close is a reset. Room is decided first and told last, behind the state. Tests: upgrades, starts, shutdowns and fronts are played on asyncio and uvloop (fixture `each_loop`).

--- a/rushhitch/fronts/client_connection.py
+++ b/rushhitch/fronts/client_connection.py
@@ -105,6 +105,7 @@
         self.close_reason = CloseReason.SHUTDOWN  # used when draining ends
         self.input_closed = False  # the client closed its sending side
         self.has_room: bool | None = None  # as found at accept; None if not checked
+        self.transferred: TransferredConnection | None = None  # set before there is a transport
         self.receipts = Receipts()
         self.receipt_check_timer: asyncio.TimerHandle | None = None
         self.write_failed = False
@@ -147,11 +148,17 @@
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Everything that reading depends on is set here: an event loop may read from a transport as soon as
+        this returns, before whoever awaits the transport runs."""
         self.transport = transport  # type: ignore[assignment]
         self.server.connecting.pop(self, None)
-        if not (self.server.make_room() if self.has_room is None else self.has_room):
-            self.refuse("too many clients are connected", ErrorReason.TOO_MANY_CLIENTS)
+        has_room = self.server.make_room() if self.has_room is None else self.has_room
         self.server.clients[self] = None
+        if self.transferred is not None:
+            self.resume(self.transferred)
+            self.transferred = None
+        if not has_room and self.is_open():
+            self.refuse("too many clients are connected", ErrorReason.TOO_MANY_CLIENTS)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.server.clients.pop(self, None)
--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -12,6 +12,8 @@
 from rushhitch.acceptor import Acceptor
 from rushhitch.fronts.admission import eviction_order
 from rushhitch.fronts.client_connection import MAX_REQUEST_BYTES, ClientConnection, TransferredConnection
+from rushhitch.fronts.receipts import Ending
+from rushhitch.fronts.socket_state import ending_of, has_input
 
 log = logging.getLogger(__name__)
 
@@ -140,21 +142,33 @@
             self.paused_listeners[listener] = self.loop.call_later(ACCEPT_REST_S, resume_accepting)
             self.evict_one()
 
-    def adopt(self, sock: socket.socket, name: str, adopted: TransferredConnection) -> None:
+    def adopt(self, sock: socket.socket, name: str, transferred: TransferredConnection) -> None:
         """Take over a client's connection from another process."""
         front = self.fronts.get(name)
         if front is None:  # the front is not enabled here
-            sock.close()
+            self.drop_transferred(sock, transferred)
             return
-
-        async def connect() -> None:
-            client = front(self)
-            client.sock = sock
-            await self.loop.connect_accepted_socket(lambda: client, sock)
-            client.resume(adopted)
-
         configure_socket(sock)
-        self.track(connect())
+        client = front(self)
+        client.sock, client.transferred = sock, transferred
+        self.track(self.set_up_transferred(client, sock, transferred))
+
+    async def set_up_transferred(
+        self, client: ClientConnection, sock: socket.socket, transferred: TransferredConnection
+    ) -> None:
+        try:
+            await self.set_up(client, sock)
+        except Exception:
+            log.exception("a client connection could not be taken over")
+            self.drop_transferred(sock, transferred)
+
+    def drop_transferred(self, sock: socket.socket, transferred: TransferredConnection) -> None:
+        """Close a connection that cannot be taken over. Closing over unread input is a reset, which discards
+        answers that the client has not read yet."""
+        if ending_of(sock) is Ending.RESET or has_input(sock):
+            for handle in transferred.unconfirmed:
+                self.acceptor.abandon(handle, Ending.RESET.value)
+        sock.close()
 
     @property
     def address(self) -> tuple[str, int]:
--- a/rushhitch/fronts/socket_state.py
+++ b/rushhitch/fronts/socket_state.py
@@ -29,6 +29,11 @@
     return Ending.RESET if events[0][1] & (select.POLLERR | select.POLLHUP) else Ending.INPUT_ENDED
 
 
+def has_input(sock: socket.socket) -> bool:
+    """Whether bytes have arrived that were not read."""
+    return bool(queue_size(sock, termios.FIONREAD))
+
+
 def unacknowledged(sock: socket.socket) -> int | None:
     """Bytes written that the client's TCP stack has not acknowledged; None if the platform cannot tell."""
     try:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,8 @@
 import pytest
 from hypothesis import settings
 
+from rushhitch.config.deployment import LOOPS
+
 sys.path.insert(0, str(Path(__file__).parent))
 pytest_plugins = ["known_red", "pytester"]
 
@@ -50,6 +52,17 @@
         yield
 
 
+@pytest.fixture(params=LOOPS)
+def each_loop(request, tmp_path_factory, monkeypatch):
+    """Run the test on each event loop: in this process with `doubles.run`, and in the programs it starts."""
+    import doubles  # not before the path to it is set
+
+    deployment = tmp_path_factory.mktemp("loop") / "rushhitch.toml"
+    deployment.write_text(f'[process]\nloop = "{request.param}"\n')
+    monkeypatch.setenv("RUSHHITCH_TOML", str(deployment))
+    monkeypatch.setattr(doubles, "loop_name", request.param)
+
+
 def pytest_terminal_summary(terminalreporter):
     """Print the table of protocols by scenario if that suite was run."""
     suite = sys.modules.get("test_protocols")
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -17,6 +17,8 @@
 from rushhitch.fronts.listener import ConnectionManager
 from rushhitch.fronts.resp2 import Resp2Connection
 
+pytestmark = pytest.mark.usefixtures("each_loop")
+
 NOW = 100.0
 
 
--- a/tests/test_close_over_unread.py
+++ b/tests/test_close_over_unread.py
@@ -4,12 +4,15 @@
 import contextlib
 import socket
 
+import pytest
 from doubles import run
 
 from rushhitch.acceptor import ACCEPTED
 from rushhitch.fronts.listener import ConnectionManager
 from rushhitch.fronts.resp2 import Resp2Connection
 
+pytestmark = pytest.mark.usefixtures("each_loop")
+
 PING = b"*1\r\n$4\r\nPING\r\n"
 ADD = b"*5\r\n$7\r\nOUT.ADD\r\n$2\r\n00\r\n$2\r\nm1\r\n$20\r\nc=note,d=6000,dest=7\r\n$4\r\nbody\r\n"
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -24,6 +24,8 @@
 from rushhitch.endpoints import ARRIVED_ANSWER_S
 from rushhitch.journal import Journal
 
+pytestmark = pytest.mark.usefixtures("each_loop")
+
 SYN_SENT = "02"  # connection state in /proc/net/tcp
 
 
--- a/tests/test_fronts_cloudevents.py
+++ b/tests/test_fronts_cloudevents.py
@@ -21,6 +21,8 @@
 from rushhitch.journal import Journal
 from rushhitch.journal.inspect import table
 
+pytestmark = pytest.mark.usefixtures("each_loop")
+
 front_of = front
 RULES = Rules({"com.example.note": "note", "com.example.pay": "pay"}, {"note": 6000.0, "pay": 24000.0})
 EVENT = {"specversion": "1.0", "id": "1", "source": "/books", "type": "com.example.note", "subject": "7"}
--- a/tests/test_fronts_resp2.py
+++ b/tests/test_fronts_resp2.py
@@ -15,6 +15,8 @@
 from rushhitch.fronts.listener import ConnectionManager
 from rushhitch.fronts.resp2 import Resp2Connection, parse_submission
 
+pytestmark = pytest.mark.usefixtures("each_loop")
+
 
 class Acceptor:
     """Takes every submission and leaves its answer to the test."""
--- a/tests/test_signals_at_start.py
+++ b/tests/test_signals_at_start.py
@@ -12,6 +12,8 @@
 
 from lab.processes import send_signal
 
+pytestmark = pytest.mark.usefixtures("each_loop")
+
 DELAYS_S = (0.0, 0.005, 0.02, 0.04, 0.06, 0.08, 0.1, 0.15, 0.2, 0.3)
 
 
--- a/tests/test_two_clients.py
+++ b/tests/test_two_clients.py
@@ -4,9 +4,12 @@
 import socket
 import struct
 
+import pytest
 from doubles import run
 from test_fronts_cloudevents import Front
 
+pytestmark = pytest.mark.usefixtures("each_loop")
+
 
 def test_an_event_accepted_on_a_second_connection_survives_the_loss_of_the_first(tmp_path):
     # Ending the message because the first connection is lost would break the acceptance sent on the second.
--- a/tests/test_unheard_elsewhere.py
+++ b/tests/test_unheard_elsewhere.py
@@ -7,6 +7,7 @@
 import socket
 from collections import Counter
 
+import pytest
 from doubles import Peer, run
 from test_fronts_cloudevents import Front
 from test_node import with_bench
@@ -23,6 +24,8 @@
 from rushhitch.succession.states import VERSION
 from rushhitch.succession.takeover import Takeover
 
+pytestmark = pytest.mark.usefixtures("each_loop")
+
 # Notices
 
 
--- a/tests/test_upgrade_leavers.py
+++ b/tests/test_upgrade_leavers.py
@@ -8,6 +8,8 @@
 import pytest
 from test_succession import with_pair
 
+pytestmark = pytest.mark.usefixtures("each_loop")
+
 
 @pytest.mark.parametrize("leave_ms", [3, 5, 10])
 def test_messages_of_clients_that_disconnect_around_the_handover_are_not_sent(tmp_path, leave_ms):
