Notices: a request without an answer holds up nothing but itself

Cause: `NoticeSender.run` had one request out and waited up to 10 s for its answer, doubled by each that failed; `add` woke nobody meanwhile. So did a connect, for up to 2 s. A wait that was chosen in the disruption outlasted it. Change: `rushhitch/notices.py`, out of discovery.py; what goes into which request is decided by `NoticeSchedule`, without clock or I/O. The next request may begin 0.15 s after the one before it, answered or not. A request is given 1 s, one of them at a time 10 s, so that a slow platform acknowledges too: at most nine are open, with descriptors reserved. A 204 sends again at once what was last sent before its request began. Rejected requests are halved until the bad notice is found. Why it works: what is waited for is only that request's own answer; pace, not patience, decides when the next one goes.

--- a/rushhitch/discovery.py
+++ b/rushhitch/discovery.py
@@ -1,4 +1,4 @@
-"""Discovery: watching the endpoint list, reconnecting, and sending notices of ends to the platform."""
+"""Discovery: watching the endpoint list, and reconnecting."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 import h11
 
 from rushhitch.connection import Connection
+from rushhitch.notices import NoticeSender
 
 log = logging.getLogger(__name__)
 
@@ -36,14 +37,9 @@
 SPREAD_PER_DISPATCHER_S = 0.1  # for each other one: spread of the first calls, and least period of later ones
 SILENCE_S = 3.5  # a watch sends something every 2 s: after this long without a complete item it is dead
 SILENCE_RECONNECT_S, QUICK_RETRY_S = 1.05, 0.3  # limit of the delay after a silence; then after one refusal
-NOTICE_S, NOTICE_TOP_S = 0.15, 2.0  # first and longest time-out for sending: the platform answers at once
-MAX_NOTICE_ANSWER_S = 10.0  # longest time-out for the answer: a slow platform must still be able to answer
-NOTICE_ASIDE_S = 10.0  # before a notice that the platform could not read is sent again: its end is still due
-NOTICE_RETRY_S = 0.05  # before the next connection; time-outs double with each
 MAX_LINE_BYTES = 4_000_000
 MAX_REMEMBERED_LINES = 256  # of a watch, to tell a copy of an older line from a discovery that began anew
 DIGEST_BYTES = 16  # of a line
-MAX_NOTICES_PER_REQUEST = 100
 EXPECTED_ERRORS = (OSError, TimeoutError, h11.ProtocolError, ValueError)
 
 
@@ -354,121 +350,6 @@
         self.version = update["version"]
 
 
-class NoticeRejected(Exception):
-    """The platform answered 400: it cannot read the notices."""
-
-
-class NoticeSender:
-    """Sends the end of each message to the platform until the platform acknowledges it with 204, and then
-    calls `on_acknowledged` with the message's number. Each request has a connection of its own: a 204 names
-    no notice, so on a connection that has carried one it might be a copy of the earlier answer."""
-
-    def __init__(self, address: tuple[str, int], on_acknowledged: Callable[[int], None]) -> None:
-        self.address, self.on_acknowledged = address, on_acknowledged
-        self.pending: dict[int, dict[str, Any]] = {}  # by message number, since an id may be reused
-        self.wake, self.empty = asyncio.Event(), asyncio.Event()
-        self.empty.set()
-        self.reset_timeouts()
-
-    def reset_timeouts(self) -> None:
-        """Return to the shortest time-outs."""
-        self.send_timeout_s = self.response_timeout_s = NOTICE_S
-
-    def add(self, number: int, message: bytes, result: str, wait_ms: float) -> None:
-        notice: dict[str, Any] = {"ref": message.decode("latin-1"), "result": result}
-        if wait_ms > 0:
-            notice["wait_ms"] = int(wait_ms)
-        self.pending[number] = notice
-        self.empty.clear()
-        self.wake.set()
-
-    def move(self, address: tuple[str, int]) -> None:
-        """Use this address from the next `run` on, which sends all pending notices, also those that the old
-        address may have received."""
-        self.address = address
-
-    async def run(self) -> None:
-        batch_size = MAX_NOTICES_PER_REQUEST
-        self.reset_timeouts()
-        self.wake.set()  # an earlier `run` may have been stopped with some in flight
-        while True:
-            await self.wake.wait()
-            self.wake.clear()
-            while self.pending:
-                try:
-                    await self.post(list(self.pending)[:batch_size])
-                    self.reset_timeouts()
-                    continue
-                except NoticeRejected as error:
-                    # Send one by one until the bad notice is found, since it must not block the others.
-                    if batch_size == 1:
-                        self.set_aside(next(iter(self.pending)), error)
-                    batch_size = 1 if batch_size > 1 else MAX_NOTICES_PER_REQUEST
-                except EXPECTED_ERRORS as error:
-                    log.info("sending notices failed, retrying: %r", error)
-                except Exception:
-                    log.exception("sending notices failed, retrying")
-                await asyncio.sleep(NOTICE_RETRY_S)
-            batch_size = MAX_NOTICES_PER_REQUEST
-            self.empty.set()
-
-    def set_aside(self, number: int, error: NoticeRejected) -> None:
-        """Retry an unreadable notice later; meanwhile it delays neither others nor shutdown. The journal
-        keeps it."""
-        notice = self.pending.pop(number)
-        log.error("a notice is told again in %g s: %s: %r", NOTICE_ASIDE_S, error, notice)
-        asyncio.get_running_loop().call_later(NOTICE_ASIDE_S, self.requeue, number, notice)
-
-    def requeue(self, number: int, notice: dict[str, Any]) -> None:
-        self.pending.setdefault(number, notice)
-        self.empty.clear()
-        self.wake.set()
-
-    async def post(self, numbers: list[int]) -> None:
-        batch = {number: self.pending[number] for number in numbers}
-        body = b"".join(json.dumps(notice).encode() + b"\n" for notice in batch.values())
-        connection = await self.send_request(body)
-        try:
-            response = await self.read_response(connection)
-        finally:
-            connection.close()
-        if response.status_code == 400:
-            raise NoticeRejected("the platform answered 400")
-        if response.status_code != 204:
-            raise ConnectionError(f"the platform answered notices with {response.status_code}")
-        for number, notice in batch.items():
-            if self.pending[number] is notice:  # else replaced meanwhile, and still to be sent
-                del self.pending[number]
-                self.on_acknowledged(number)
-
-    async def send_request(self, body: bytes) -> Connection:
-        """Send a request on a new connection and return that."""
-        connection = None
-        try:
-            async with asyncio.timeout(self.send_timeout_s):
-                connection = await Connection.open(self.address)
-                await connection.send("POST", "/status", [], body)
-                return connection
-        except BaseException as error:
-            if connection is not None:
-                connection.close()
-            if isinstance(error, TimeoutError):
-                self.send_timeout_s = min(2.0 * self.send_timeout_s, NOTICE_TOP_S)
-            raise
-
-    async def read_response(self, connection: Connection) -> h11.Response:
-        """The head of the response. The time-out grows with each failure: a platform that takes requests but
-        answers slowly must still be able to acknowledge them."""
-        try:
-            async with asyncio.timeout(self.response_timeout_s):
-                response = await connection.response()
-                await connection.body(MAX_LINE_BYTES)
-                return response
-        except TimeoutError:
-            self.response_timeout_s = min(2.0 * self.response_timeout_s, MAX_NOTICE_ANSWER_S)
-            raise
-
-
 class PlatformClient:
     """Runs the watch and the notice sender, both at one address at a time."""
 
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -38,13 +38,14 @@
 from rushhitch.core.operator_commands import OperatorCommands
 from rushhitch.core.resumption import resume
 from rushhitch.core.state_transfer import StateTransfer
-from rushhitch.discovery import NoticeSender, PlatformClient, Watch
+from rushhitch.discovery import PlatformClient, Watch
 from rushhitch.fronts.listener import ConnectionManager
 from rushhitch.fronts.resp2 import Resp2Connection
 from rushhitch.journal import Journal
 from rushhitch.journal.boot import boot_id
 from rushhitch.journal.sidecar import SidecarFile, verified_content
 from rushhitch.journal.steady_clock import steady_clock_offset_s
+from rushhitch.notices import MAX_OPEN_REQUESTS, NoticeSender
 from rushhitch.partners.codec import Codec
 from rushhitch.succession.handover import Handover
 from rushhitch.succession.states import Action
@@ -65,9 +66,9 @@
 CONNECTION_GRACE_S = 2.0  # connections are kept
 SHUTDOWN_DEADLINE_S = 3.3  # messages still open then stay in the journal
 # Descriptors kept from clients and endpoints: some 12 for the process itself (log, loop, lock, listeners,
-# newest segment), 2 for the watch and notices, 2 for files being replaced or reread, and
+# newest segment), 1 for the watch, those of requests with notices, 2 for files being replaced or reread, and
 # 2 * `MAX_ACCEPTS_PER_STEP` for clients that are being rejected or evicted.
-RESERVED_DESCRIPTORS = 48
+RESERVED_DESCRIPTORS = 47 + MAX_OPEN_REQUESTS
 CONTROL_DESCRIPTORS = MAX_CONNECTIONS + 4  # kept for operators and a successor, with a control address
 CLIENT_SHARE = 1 / 3  # of the descriptors, at most for clients' requests
 MIN_CONNECTIONS = 4  # for clients, and for endpoints, however few descriptors there are
@@ -354,6 +355,8 @@
             "open": len(self.node.by_id),
             "notices": notices,
             "held_back": self.node.endpoints.held_back,
+            "notices_sent": self.notices.schedule.sent,
+            "notices_repeated": self.notices.schedule.repeated,
         }
         fields |= {f"refused.{reason}": count for reason, count in self.node.lifecycle.counts().items()}
         return fields | {f"closed.{reason}": count for reason, count in sorted(self.clients.closed.items())}
