lab: answers to notices that never come, and the event loop of a soak by its seed

Change: the fault `lose_notice_answers`: the platform hears all notices and a share of its answers never comes. `loop` is a key of a scenario. Each seed's bound and check are as before.

--- a/lab/directory.py
+++ b/lab/directory.py
@@ -42,6 +42,8 @@
         self.chance = random.Random("directory")
         self.refuse_notices = 0.0  # share of the requests with notices that are answered 503, unheard
         self.refused_refs: set[str] = set()  # of these: each notice is refused once
+        self.lose_answers = 0.0  # share of the answers to notices that never arrive
+        self.lost_chance = random.Random(f"lost answers to notices {seed}")
         self.repeated_answers = Repeats(random.Random(f"repeated answers to notices {seed}"))
         self.repeated_lines = Repeats(random.Random(f"repeated lines {seed}"), ways=("later", "split"))
         self.former: dict[HttpConnection, bytes] = {}  # the newest line of each watch
@@ -157,6 +159,8 @@
         if request.method == b"POST" and request.target == b"/status":
             connection.repeats, connection.state = self.repeated_answers, request
             status = self.notices(request.body)
+            if self.lose_answers and self.lost_chance.random() < self.lose_answers:
+                return
             self.loop.call_later(NOTICE_ANSWER_S, self.answer_notices, connection, status)
         elif self.down:
             connection.answer(503)
--- a/lab/run.py
+++ b/lab/run.py
@@ -216,7 +216,7 @@
 
     def toml(self, addresses: dict[str, tuple[str, int]]) -> str:
         """A process's own settings; with planners there, if any."""
-        journal = f'[journal]\nsync = "{self.scenario.sync}"\n'
+        journal = f'[process]\nloop = "{self.scenario.loop}"\n[journal]\nsync = "{self.scenario.sync}"\n'
         modes = {spec.dest: spec.speaks for spec in self.scenario.partners if spec.speaks != "platform"}
         if modes or set(self.scenario.clients) != {"resp2"}:
             journal += events.toml([cls.name for cls in self.scenario.classes], modes)
@@ -450,6 +450,12 @@
     def end_refuse_notices(self, fault: Fault) -> None:
         self.directory.refuse_notices = 0.0
 
+    def begin_lose_notice_answers(self, fault: Fault) -> None:
+        self.directory.lose_answers = fault.factor
+
+    def end_lose_notice_answers(self, fault: Fault) -> None:
+        self.directory.lose_answers = 0.0
+
     def begin_directory(self, fault: Fault) -> None:
         self.directory.go_down()
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -37,6 +37,7 @@
 from lab.partners import Faults, Spec
 from lab.repeats import RepeatFaults
 from lab.ways import WayFaults
+from rushhitch.config.deployment import LOOPS
 
 WHATS = {
     "partner": "its faults, on all its lanes",
@@ -69,6 +70,7 @@
     " (d0-d1), between buildings (a-b); all, if none is named, with the fields of `lab.member_ways.WayFault`",
     "repeat": "answers and lines come again, with the fields of `lab.repeats.RepeatFaults`",
     "refuse_notices": "the platform answers a share (`factor`) of the notices 503 at first, untaken",
+    "lose_notice_answers": "the platform hears all notices, and a share (`factor`) of its answers gets lost",
     "burst": "the load on a partner is `factor` times the usual",
 }
 
@@ -153,6 +155,7 @@
     guests: bool = False  # people may post events by hand: what the lab's clients did not is not checked
     leaving_per_s: float = 0.0  # by dispatcher, clients that leave before they have heard: in the soak
     copies: bool = False  # second copies of safe messages, where the rules allow them
+    loop: str = "asyncio"  # the event loop of the dispatchers: "asyncio" or "uvloop"
 
     @property
     def kinds(self) -> list[tuple[str, bool, int]]:
@@ -185,6 +188,8 @@
                     raise BadScenario(
                         f"partner {partner}: load: no class {name!r}: use one of {sorted(classes)}"
                     )
+        if self.loop not in LOOPS:
+            raise BadScenario(f"loop = {self.loop!r}: use one of {', '.join(LOOPS)}")
         dispatchers = {f"d{number}" for number in range(self.dispatchers)}
         wanted = {
             "partner": partners,
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -21,6 +21,7 @@
 from lab.rude_clients import Crowd, LeavingClients, RudeClients
 from lab.run import Played, Run
 from lab.scenario import ClassSpec, Fault, Scenario
+from rushhitch.config.deployment import LOOPS
 
 LEAST_GAP_S, MOST_GAP_S = 0.15, 0.8  # between the beginnings of two faults, for ten dispatchers
 FIRST_S = 0.7  # before it all works
@@ -32,6 +33,8 @@
 REPEATS_SHARE = 0.7  # of the runs have answers and lists that come again
 MAX_REPEATS = 0.15  # share of what is sent that does, at most
 MAX_REFUSED_NOTICES = 0.3  # share of the notices that the platform refuses on such a run, at most
+LOST_ANSWERS_SHARE = 0.5  # of the runs lose answers to notices for a while
+MIN_LOST_S, MAX_LOST_S = 1.0, 4.0  # how long
 CROWDED_SHARE = 0.3  # of the runs have a crowd
 CROWDED, CROWDED_SOCKETS = 3, 160  # so many dispatchers of these, with so few descriptors
 ALWAYS = (
@@ -167,6 +170,22 @@
     ]
 
 
+def lost_answers_of(soak: Soak) -> list[Fault]:
+    """A time in which answers to notices get lost, with load behind it; by a chance of its own, as
+    `leaving_of`."""
+    chance = random.Random(f"no answers to notices {soak.seed}")
+    if chance.random() >= LOST_ANSWERS_SHARE:
+        return []
+    at = chance.uniform(FIRST_S, 0.5 * soak.seconds)
+    seconds = min(chance.uniform(MIN_LOST_S, MAX_LOST_S), 0.4 * soak.seconds)
+    return [Fault(at, "lose_notice_answers", seconds=seconds, factor=1.0)]
+
+
+def loop_of(soak: Soak) -> str:
+    """The dispatchers' event loop; by a chance of its own, as `leaving_of`."""
+    return random.Random(f"event loop {soak.seed}").choice(LOOPS)
+
+
 def scenario_of(soak: Soak) -> Scenario:
     """The run that a seed stands for."""
     chance = random.Random(f"soak {soak.seed}")
@@ -195,10 +214,11 @@
         classes=classes,
         partners=partners,
         load=load,
-        faults=faults + (repeats_of(soak) if not soak.only else []),
+        faults=faults + (repeats_of(soak) + lost_answers_of(soak) if not soak.only else []),
         slots=chance.choice((8, 16)),
         max_held=chance.choice((20, 60, 200)),
         sync=soak.sync,
+        loop=loop_of(soak),
         retries=1,
         leaving_per_s=leaving_of(soak),
         copies=chance.random() < 0.5,
@@ -263,6 +283,7 @@
         "seed": soak.seed,
         "processes": soak.processes,
         "seconds": soak.seconds,
+        "loop": played.scenario.loop,
         "answers": dict(sorted(answers.items())),
         "calls": calls,
         **left(played.history.events),
--- a/tests/test_lab_soak.py
+++ b/tests/test_lab_soak.py
@@ -8,6 +8,7 @@
 from lab.__main__ import main
 from lab.scenario import WHATS
 from lab.soak import ALWAYS, EXTRA, Soak, scenario_of
+from rushhitch.config.deployment import LOOPS
 
 SEEDS, PROCESSES, SECONDS = (3, 17, 20, 24), 6, 9.0  # of the soaks that are played here
 
@@ -18,8 +19,8 @@
 
 def test_every_kind_of_fault_comes_and_many_overlap():
     faults = [fault for seed in range(30) for fault in scenario_of(Soak(seed, extra=EXTRA)).faults]
-    repeats = {"repeat", "refuse_notices"}
-    assert {fault.what for fault in faults} == set(ALWAYS) - {"stall"} | set(EXTRA) | repeats <= set(WHATS)
+    platform = {"repeat", "refuse_notices", "lose_notice_answers"}
+    assert {fault.what for fault in faults} == set(ALWAYS) - {"stall"} | set(EXTRA) | platform <= set(WHATS)
     scenario = scenario_of(Soak(1))
     overlaps = sum(
         one.at < other.at < one.at + min(one.seconds, 2.0)
@@ -42,6 +43,15 @@
     assert 0 < len(repeats) < len(SEEDS)
 
 
+def test_in_some_short_soaks_answers_to_notices_get_lost_and_both_event_loops_are_played():
+    scenarios = [scenario_of(Soak(seed, PROCESSES, SECONDS)) for seed in SEEDS]
+    lost = [
+        fault for scenario in scenarios for fault in scenario.faults if fault.what == "lose_notice_answers"
+    ]
+    assert 0 < len(lost) < len(SEEDS) and all(fault.at + fault.seconds < SECONDS - 2.0 for fault in lost)
+    assert {scenario.loop for scenario in scenarios} == set(LOOPS)
+
+
 def test_in_every_short_soak_clients_leave_and_in_some_many_do():
     rates = {scenario_of(Soak(seed, PROCESSES, SECONDS)).leaving_per_s for seed in SEEDS}
     assert rates == {soak.LEAVING_PER_S, soak.MANY_LEAVE_PER_S}
