--- a/lab/soak.py
+++ b/lab/soak.py
@@ -176,7 +176,7 @@
     chance = random.Random(f"no answers to notices {soak.seed}")
     if chance.random() >= LOST_ANSWERS_SHARE:
         return []
-    at = chance.uniform(FIRST_S, 0.5 * soak.seconds)
+    at = chance.uniform(FIRST_S, 0.3 * soak.seconds)
     seconds = min(chance.uniform(MIN_LOST_S, MAX_LOST_S), 0.4 * soak.seconds)
     return [Fault(at, "lose_notice_answers", seconds=seconds, factor=1.0)]
 
