Shutdown: what has arrived is read from the sockets, not by counted steps of the loop

`read_pending_input` slept for two steps of the loop, since on asyncio "the first polls, the second reads": no interface promises that, and uvloop polls and reads in another order. No fault was seen from it; the end of a handover did not read at all. Change: `ClientConnection.shut_down` reads its own socket until nothing is there, answers, and closes in the same step.

--- a/rushhitch/fronts/client_connection.py
+++ b/rushhitch/fronts/client_connection.py
@@ -19,6 +19,7 @@
 
 log = logging.getLogger(__name__)
 
+READ_BYTES = 65_536  # from a socket at once
 MAX_REQUEST_BYTES = 69_632  # of a request with one message: its body and 4 KiB
 NOT_CONFIRMED = "its client's system did not confirm the answer in time"
 MAX_UNSENT_BYTES = 256  # of answers to a pipelined burst; with more unsent, the client is not reading them
@@ -395,8 +396,9 @@
             self.transport.close()
 
     def shut_down(self) -> None:
-        """Answer every request read so far and close, without waiting; refuse a partial one. Called as
+        """Answer every request that has arrived and close, without waiting; refuse a partial one. Called as
         the process shuts down."""
+        self.read_arrived_input()
         self.draining = True
         self.check_client()
         self.answer_unserved()
@@ -405,6 +407,18 @@
             self.refuse("the process ends", ErrorReason.SHUTDOWN)
         self.close(CloseReason.SHUTDOWN)
 
+    def read_arrived_input(self) -> None:
+        """Read what has arrived from the socket itself, since an event loop reads only in a later step."""
+        while self.is_open() and self.transport.is_reading():  # type: ignore[union-attr]
+            assert self.sock is not None, "it has a transport"
+            try:
+                data = self.sock.recv(READ_BYTES)
+            except OSError:  # nothing there, or a reset, which `check_client` sees
+                return
+            if not data:
+                return
+            self.data_received(data)
+
     def transferable_input(self) -> bytes | None:
         """The bytes read of a partial request, with which another process continues; None while the
         connection cannot be handed over."""
--- a/rushhitch/fronts/listener.py
+++ b/rushhitch/fronts/listener.py
@@ -17,7 +17,6 @@
 
 log = logging.getLogger(__name__)
 
-SHUTDOWN_READ_STEPS = 2  # loop iterations: the first polls the sockets, the second reads
 SWEEP_INTERVAL_S = 0.25  # between two checks for overdue and idle connections
 # The kernel may allow a shorter queue. If it is full a connect is dropped silently, and the client's system
 # retries it after 1, 2, 4, 8 and 16 s.
@@ -239,13 +238,9 @@
         for client in list(self.clients):
             client.close_when_idle()
 
-    async def read_pending_input(self) -> None:
-        """Read the input that has arrived, at shutdown. The core must already refuse submissions."""
-        for _ in range(SHUTDOWN_READ_STEPS):
-            await asyncio.sleep(0)
-
     def close_all(self) -> None:
-        """Close every connection without waiting, at shutdown; each request that was read is answered."""
+        """Close every connection without waiting, at shutdown; each request that has arrived is answered.
+        The core must already refuse submissions."""
         if self.sweep_timer is not None:
             self.sweep_timer.cancel()
         for client in list(self.clients):
--- a/rushhitch/service.py
+++ b/rushhitch/service.py
@@ -337,7 +337,6 @@
             pass
         await self.transfer.freeze()  # calls not yet written whole never ran: journal that
         await self.transfer.end_calls()
-        await clients.read_pending_input()
         clients.close_all()
         node.commit()
         held = len(self.journal.live)
--- a/tests/test_fronts_resp2.py
+++ b/tests/test_fronts_resp2.py
@@ -398,6 +398,25 @@
             assert await client.line() == b"+PONG\r\n"
 
 
+@pytest.mark.parametrize("rest", [b"", b"*1\r\n$4\r\nPI"], ids=["one whole", "one whole, one in part"])
+def test_a_request_that_has_arrived_is_answered_at_shutdown_with_no_step_of_the_loop_between(rest):
+    # Guards against counting on the step in which an event loop polls, and that in which it reads.
+    @with_server()
+    async def _(server, acceptor):
+        loop = asyncio.get_running_loop()
+        with socket.create_connection(server.address) as sock:
+            sock.setblocking(False)
+            await loop.sock_sendall(sock, b"*1\r\n$4\r\nPING\r\n")
+            assert await loop.sock_recv(sock, 100) == b"+PONG\r\n"
+            sock.send(pack(ADD) + rest)
+            server.close_all()
+            assert acceptor.withdrawn.qsize() == 1
+            answers = b""
+            while data := await loop.sock_recv(sock, 100):
+                answers += data
+            assert answers == b"-BUSY\r\n" * (2 if rest else 1)
+
+
 def test_answers_are_sent_with_tcp_nodelay():
     # Without TCP_NODELAY, an answer that waits for an acknowledgement is lost if the connection is reset.
     @with_server()
