tests: the module of notices has its layer

Cause: added `rushhitch.notices` and left it out of the table of layers; test_imports was red from then on.

--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -16,6 +16,7 @@
     "rushhitch.core",
     "rushhitch.fronts",
     "rushhitch.discovery",
+    "rushhitch.notices",
     "rushhitch.endpoints",
     "rushhitch.partners",
     "rushhitch.cloudevents",
