Handshake: silent endpoints no longer keep others from ever being asked

Seen: partners with `handshake` that were listed behind many silent ones were never asked for their agreement, and so got no event: of 100 endpoints that do not answer 53 were asked in 260 s, the others never, well or not. At most eight requests are open, each for up to 5 s, and `Agreements.due` chose among those that are due by their place in the list: those in front were due again before the others had their turn. Change: first those that answered the last time or were not asked yet, then those that did not; of each, who is due longest. So an endpoint that never failed waits for one of eight requests to end, 5 s at most.

--- a/rushhitch/partners/agreements.py
+++ b/rushhitch/partners/agreements.py
@@ -64,8 +64,14 @@
         return known.per_s if known is not None and known.agreed else math.inf
 
     def due(self, now: float, limit: int) -> list[str]:
-        """Up to `limit` endpoints to ask now, each due again only after `answered` or `unanswered`."""
-        endpoints = [name for name, known in self.known.items() if known.ask_at <= now][:limit]
+        """Up to `limit` endpoints to ask now, each due again only after `answered` or `unanswered`. First
+        those that answered the last time, or were not asked yet; of each sort who is due longest."""
+        due = [
+            (known.unanswered > 0, known.ask_at, name)
+            for name, known in self.known.items()
+            if known.ask_at <= now
+        ]
+        endpoints = [name for *_, name in sorted(due)[:limit]]
         for name in endpoints:
             self.known[name].ask_at = math.inf
         return endpoints
--- a/tests/test_partners_handshake.py
+++ b/tests/test_partners_handshake.py
@@ -40,6 +40,23 @@
     assert made.next_at() == math.inf and not made.agreed("a")
 
 
+def test_silent_endpoints_do_not_hold_up_one_that_never_failed_to_answer():
+    # Guards against endpoints that were listed late and never asked while many others are silent.
+    made, now = agreements(), 0.0
+    for number in range(100):
+        made.place(f"silent{number}")
+    asked = set()
+    for _ in range(13 * 4):
+        endpoints = made.due(now, 8)
+        asked |= set(endpoints)
+        for endpoint in endpoints:
+            made.unanswered(now + 5_000.0, endpoint, "no answer")
+        now += 5_000.0
+    assert len(asked) == 100, "each gets its turn"
+    made.place("well")
+    assert "well" in made.due(now, 8)
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "per_s"),
     [
