Planners: a link on which nothing comes for 3 s is connected anew

Seen: a forwarder whose planner's machine vanished kept its connection: for ever where nothing was on its way, else until the system's next retry of what was written, which comes the later the longer the machine was gone. Until then the planner, back at its address, heard nothing of that forwarder, which stayed at its safe share. Evidence: against a planner that falls silent, behind the connect or behind the handshake, the link made no second connection in 5 s (both new tests fail without the change). Change: `report` counts the time without anything received and aborts the link behind 3 s; times in which this process itself stood still do not count. The next connect is 0.1 to 1.5 s later, as behind any loss. Result: test_planning_wire, test_planning and test_lab_run passed.

--- a/rushhitch/planning/client.py
+++ b/rushhitch/planning/client.py
@@ -17,6 +17,9 @@
 HEARD_S = 1.0  # since the last answer, after which a planner is not reported as heard
 CONNECT_S = 1.0
 BACKOFF_S, MAX_BACKOFF_S = 0.2, 1.0  # between connection attempts: exponential, with jitter
+# A link that is silent for so long is opened anew: the planner's machine may have vanished, and the longer it
+# was gone the further apart are the system's own retries of what was written, if there are any.
+SILENCE_S = 3.0
 MAX_UNSENT_BYTES = 1_048_576  # reports are skipped while a planner leaves more than this unread
 
 
@@ -29,6 +32,7 @@
         self.transport: asyncio.Transport | None = None
         self.lost = asyncio.Event()
         self.answered_at = -1e9
+        self.silent_s = 0.0  # since anything was received, without the times when this process stood still
         self.asked: dict[int, float] = {}  # send time by report number, in milliseconds
 
     async def run(self) -> None:
@@ -51,6 +55,7 @@
         self.transport = transport  # type: ignore[assignment]
         self.link = Link(Role.FORWARDER, self.client.name, self.client.secret)
         self.asked.clear()
+        self.silent_s = 0.0
         transport.write(self.link.greeting())  # type: ignore[attr-defined]
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -60,6 +65,7 @@
     def data_received(self, data: bytes) -> None:
         if self.link is None or self.transport is None:
             return
+        self.silent_s = 0.0
         try:
             for kind, payload in self.link.receive(data):
                 if not self.link.ready:
@@ -85,7 +91,14 @@
         self.client.granted(asked_at, grants)
 
     def report(self, report: Report) -> None:
-        if self.link is None or not self.link.ready or self.transport is None:
+        if self.link is None or self.transport is None:
+            return
+        self.silent_s += min(report.elapsed_ms / 1000.0, REPORT_S)
+        if self.silent_s > SILENCE_S:
+            log.info("planner %s is silent: connecting anew", self.name)
+            self.transport.abort()
+            return
+        if not self.link.ready:
             return
         if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             return
--- a/tests/test_planning_wire.py
+++ b/tests/test_planning_wire.py
@@ -9,6 +9,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from rushhitch.planning import client as client_module
 from rushhitch.planning import show
 from rushhitch.planning.client import PlannerClient
 from rushhitch.planning.messages import Grant, Grants, LaneReport, Report
@@ -191,6 +192,36 @@
         second.close()
 
 
+@pytest.mark.parametrize("silent_from", ["the connection", "the handshake"])
+def test_a_planner_whose_machine_vanished_is_connected_to_anew(monkeypatch, silent_from):
+    # Guards against a link that is open for ever, or until the system's next retry, minutes later.
+    monkeypatch.setattr(client_module, "SILENCE_S", 0.3)
+
+    async def work():
+        connections = []
+
+        async def vanished(reader, writer):
+            connections.append(writer)
+            link = Link(Role.PLANNER, "p1", SECRET)
+            if silent_from == "the handshake":
+                writer.write(link.greeting())
+                while not link.ready:
+                    for kind, payload in link.receive(await reader.read(1000)):
+                        writer.write(link.handshake(kind, payload))
+            await asyncio.Event().wait()
+
+        server = await asyncio.start_server(vanished, "127.0.0.1", 0)
+        forwarder = Forwarder(server.sockets[0].getsockname())
+        while len(connections) < 2:
+            await asyncio.sleep(0.01)
+        forwarder.client.stop()
+        for writer in connections:
+            writer.close()
+        server.close()
+
+    asyncio.run(asyncio.wait_for(work(), 5.0))
+
+
 def test_forty_forwarders_that_join_within_a_second_share_the_limit_and_do_not_pass_it():
     @played
     async def _(server, address):
