--- a/tests/test_transferred_connections.py
+++ b/tests/test_transferred_connections.py
@@ -127,3 +127,19 @@
             assert await takeover.abandoned() == HANDLE
         else:
             assert await takeover.receive() == b"" and takeover.acceptor.abandoned.empty()
+
+
+def test_an_answer_that_no_longer_counts_as_buffered_outlasts_the_abort_of_its_transport():
+    # Guards against a handover that drops what an event loop has not written yet.
+    @with_takeover()
+    async def _(takeover):
+        takeover.adopt()
+        await asyncio.sleep(0.01)
+        (connection,) = takeover.manager.clients
+        connection.transport.write(b"+OK\r\n")
+        while connection.transport.get_write_buffer_size():
+            await asyncio.sleep(0)
+        passed_on = takeover.transferred.dup()
+        connection.transport.abort()
+        assert await asyncio.wait_for(takeover.receive(), 1.0) == b"+OK\r\n"
+        passed_on.close()
